--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,989 @@
+//! Every decision of the scheduler, in the order of a task's life. The interface is `src/interface.rs`.
+//!
+//! The ordinary path is L-JBA: each machine has one entry in a late table of this scheduler's own; a task is
+//! drawn among the machines that can take it and stand at or below their mean, with chance by cores; it is
+//! added to the entry at once and offered without waiting. What narrows the filter or corrects an entry is a
+//! function of its own below, with the danger it meets. `docs/design.md` tells when each of them acts.
+
+use crate::interface::*;
+use std::collections::VecDeque;
+
+/// Share of memory filled by choice: the last tenth is left for tasks that grow after they start.
+const MEMORY_FILL: f64 = 0.9;
+/// Weight of a new sample in what is learned: about the last ten samples count.
+const LEARN: f64 = 0.1;
+/// Share of the aim that an expected start may take; the rest covers what the estimate cannot see.
+const AIM_SHARE: f64 = 0.75;
+/// Starts within this factor of the soonest count as equally soon, so that the draw keeps its randomness.
+const NEAR_SOONEST: f64 = 1.3;
+/// A start is overdue at this multiple of its estimate: estimates are off by up to about half.
+const OVERDUE: f64 = 2.0;
+/// Ended programs remembered a machine; machines keep a handful.
+const PROGRAMS: usize = 6;
+/// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
+const PROBE_CHANCE: f64 = 0.25;
+
+struct Attempt {
+    machine: MachineId,
+    rack: u16,
+    zone: u8,
+    sent_at: Micros,
+    estimate: f64,
+    warm: bool,
+    open: bool,
+    starting: bool,
+    may_have_run: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Offered,
+    Placed,
+    Over,
+}
+
+struct Task {
+    ask: Request,
+    arrived: Micros,
+    deadline: Micros,
+    stage: Stage,
+    attempts: Vec<Attempt>,
+}
+
+/// One entry of the table.
+struct Machine {
+    line: MachineLine,
+    cores: f64,
+    memory: f64,
+    own: [f64; 2],
+    history: VecDeque<(Micros, [f64; 2])>,
+    others: Option<[f64; 2]>,
+    excess: [f64; 2],
+    refused: Option<[f64; 2]>,
+    rests_until: Micros,
+    starting: Table<RequestId, (Micros, f64)>,
+    unanswered: Table<RequestId, Micros>,
+    heard_at: Micros,
+    suspect: bool,
+    trial_at: Micros,
+    trial_wait: Micros,
+    pace: f64,
+    offers: VecDeque<Micros>,
+    programs: Table<ServiceId, (u32, Micros)>,
+}
+
+impl Machine {
+    fn new(line: MachineLine, kind: Option<&Kind>) -> Machine {
+        let (cores, memory) = kind.map_or((0.0, 0.0), |k| (k.cores, k.memory));
+        Machine {
+            line,
+            cores,
+            memory,
+            own: [0.0; 2],
+            history: VecDeque::new(),
+            others: None,
+            excess: [0.0; 2],
+            refused: None,
+            rests_until: 0,
+            starting: Table::new(),
+            unanswered: Table::new(),
+            heard_at: 0,
+            suspect: false,
+            trial_at: 0,
+            trial_wait: 0,
+            pace: 1.0,
+            offers: VecDeque::new(),
+            programs: Table::new(),
+        }
+    }
+
+    fn asked(&self, others: [f64; 2]) -> [f64; 2] {
+        let others = self.others.unwrap_or(others);
+        [self.own[0] + others[0], self.own[1] + others[1]]
+    }
+
+    fn add_own(&mut self, now: Micros, ask: &Request, sign: f64) {
+        self.history.push_back((now, self.own));
+        if self.history.len() > 256 {
+            self.history.pop_front();
+        }
+        self.own[0] = (self.own[0] + sign * ask.cores).max(0.0);
+        self.own[1] = (self.own[1] + sign * ask.memory).max(0.0);
+    }
+
+    fn own_at(&self, then: Micros) -> [f64; 2] {
+        self.history.iter().find(|(at, _)| *at > then).map_or(self.own, |(_, own)| *own)
+    }
+
+    fn holds_program(&self, service: ServiceId) -> bool {
+        self.programs.contains_key(&service)
+    }
+}
+
+/// One scheduler's decisions: it is told what happened and answers with what to do.
+pub struct Scheduler {
+    settings: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    born: Option<Micros>,
+    machines: Table<MachineId, Machine>,
+    version: u64,
+    watching: bool,
+    watch_at: Option<Micros>,
+    watch_failures: u32,
+    tasks: Table<RequestId, Task>,
+    held: Vec<RequestId>,
+    services: Table<ServiceId, Table<MachineId, u32>>,
+    use_ratio: [f64; 2],
+    start_times: Vec<[f64; 2]>,
+    room_news: bool,
+    next_try: Micros,
+    wake: Micros,
+    out: Vec<Action>,
+}
+
+impl Scheduler {
+    /// A scheduler that has just started and knows nothing but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Scheduler {
+        // Before any start is seen: one without the program misses the aim, one with it takes a part of it.
+        let start_times = settings.classes.iter().map(|c| [c.aim as f64 * 0.25, c.aim as f64 * 2.0]);
+        Scheduler {
+            start_times: start_times.collect(),
+            rng: fastrand::Rng::with_seed(seed),
+            settings,
+            now: 0,
+            born: None,
+            machines: Table::new(),
+            version: 0,
+            watching: false,
+            watch_at: None,
+            watch_failures: 0,
+            tasks: Table::new(),
+            held: Vec::new(),
+            services: Table::new(),
+            use_ratio: [1.0; 2],
+            room_news: false,
+            next_try: 0,
+            wake: Micros::MAX,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in what happened at `now` and returns what to do about it.
+    pub fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if self.born.is_none() {
+            self.born = Some(self.now);
+            self.watch_at = self.settings.list_on_request.then_some(self.now);
+        }
+        for event in events {
+            self.take_in(event);
+        }
+        self.ask_for_list();
+        self.look_for_silence();
+        self.place_held();
+        self.set_wake();
+        std::mem::take(&mut self.out)
+    }
+
+    fn take_in(&mut self, event: &Event) {
+        match event {
+            Event::MachineList { scope, version, lines } => self.on_list(*scope, *version, lines),
+            Event::Place(ask) => self.on_place(ask),
+            Event::Standing { request, machine } => self.on_standing(request, *machine),
+            Event::Placed { request, attempt, machine } => self.on_placed(*request, *attempt, *machine),
+            Event::Noted { request, attempt, machine, note } => {
+                self.on_note(*request, *attempt, *machine, *note);
+            }
+            Event::Ended { request, attempt, machine, outcome, why, over, load } => {
+                self.on_ended(*request, *attempt, *machine, *outcome, *why, *over);
+                if let Some(load) = load {
+                    self.on_load(*machine, load);
+                }
+            }
+            Event::Unwanted(request) => self.close(*request),
+            Event::Timer(_) => self.wake = Micros::MAX,
+            Event::Probed { machine, answered, load } => {
+                if *answered {
+                    self.on_heard(*machine);
+                }
+                if let Some(load) = load {
+                    self.on_load(*machine, load);
+                }
+            }
+            Event::Peer { .. } => {}
+        }
+    }
+
+    // ---- The machine list ----
+
+    fn on_list(&mut self, scope: ListScope, version: u64, lines: &[MachineLine]) {
+        if scope == ListScope::Failed {
+            // Danger: all schedulers lose the list at once and would ask again in step; waits grow and scatter.
+            self.watching = false;
+            self.watch_failures = (self.watch_failures + 1).min(4);
+            let wait = (self.settings.ask_every / 32) << self.watch_failures;
+            self.watch_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
+            return;
+        }
+        if scope != ListScope::Cached {
+            self.watching = true;
+            self.watch_failures = 0;
+            self.watch_at = None;
+        }
+        // Danger: a list older than the one held would bring drained machines back.
+        if version < self.version && scope != ListScope::Cached {
+            return;
+        }
+        self.version = version;
+        self.room_news = true;
+        if scope != ListScope::Delta {
+            for machine in self.machines.values_mut() {
+                if !lines.iter().any(|line| line.machine == machine.line.machine) {
+                    machine.line.state = MachineState::Gone;
+                }
+            }
+        }
+        for line in lines {
+            self.on_line(line);
+        }
+        // Bounded state: a machine that left is forgotten with its last task.
+        self.machines.retain(|_, m| m.line.state != MachineState::Gone || m.own != [0.0; 2]);
+    }
+
+    fn on_line(&mut self, line: &MachineLine) {
+        let kind = self.settings.kinds.get(usize::from(line.kind));
+        let lag = self.list_lag();
+        let machine = self.machines.entry(line.machine).or_insert_with(|| Machine::new(line.clone(), kind));
+        let (cores, memory) = kind.map_or((0.0, 0.0), |k| (k.cores, k.memory));
+        (machine.cores, machine.memory) = (cores, memory);
+        if line.started_at != machine.line.started_at {
+            // A restarted process keeps no program, no load and no fault of its earlier life.
+            machine.programs.retain(|_, (running, _)| *running > 0);
+            (machine.others, machine.refused, machine.suspect) = (None, None, false);
+            (machine.excess, machine.pace) = ([0.0; 2], 1.0);
+        }
+        machine.line = line.clone();
+        if let (Some(free_cores), Some(free_memory)) = (line.free_cores, line.free_memory) {
+            let asked = [cores - free_cores, memory - free_memory];
+            let then = self.now.saturating_sub(lag);
+            Scheduler::learn_others(&self.settings, machine, asked, then, LEARN * 2.0);
+            machine.refused = None;
+        }
+    }
+
+    /// A list is late by its own delay and the reports'; its age is not told, so a guess from the settings.
+    fn list_lag(&self) -> Micros {
+        self.settings.ask_every / 4
+    }
+
+    /// Danger: a late report lacks the binds made since and would erase them from the entry. Own asks are
+    /// known exactly, so a report only tells what others asked: its total less what was ours at that time.
+    fn learn_others(settings: &Settings, machine: &mut Machine, asked: [f64; 2], then: Micros, weight: f64) {
+        let own = machine.own_at(then);
+        let alone = settings.schedulers <= 1;
+        for i in 0..2 {
+            let seen = if alone || !asked[i].is_finite() { 0.0 } else { (asked[i] - own[i]).max(0.0) };
+            let others = machine.others.get_or_insert([f64::NAN; 2]);
+            others[i] = if others[i].is_nan() { seen } else { others[i] + weight * (seen - others[i]) };
+        }
+    }
+
+    fn ask_for_list(&mut self) {
+        if self.watch_at.is_some_and(|at| at <= self.now) {
+            self.watch_at = None;
+            self.out.push(Action::Watch);
+        }
+    }
+
+    // ---- A task comes ----
+
+    fn on_place(&mut self, ask: &Request) {
+        let known = usize::from(ask.class) < self.settings.classes.len();
+        let sane = |x: f64| x.is_finite() && x >= 0.0;
+        if !known || !sane(ask.cores) || !sane(ask.memory) {
+            self.out.push(Action::Refuse { request: ask.request, retry_after: None });
+            return;
+        }
+        if self.tasks.contains_key(&ask.request) {
+            return;
+        }
+        let deadline = self.now + ask.deadline_in;
+        let stage = Stage::Held;
+        let task = Task { ask: ask.clone(), arrived: self.now, deadline, stage, attempts: Vec::new() };
+        self.tasks.insert(ask.request, task);
+        if !self.try_place(ask.request) {
+            self.held.push(ask.request);
+        }
+    }
+
+    fn on_standing(&mut self, ask: &Request, machine: MachineId) {
+        let sane = |x: f64| x.is_finite() && x >= 0.0;
+        if self.tasks.contains_key(&ask.request) || !sane(ask.cores) || !sane(ask.memory) {
+            return;
+        }
+        let now = self.now;
+        let mut task = Task {
+            ask: ask.clone(),
+            arrived: now,
+            deadline: now,
+            stage: Stage::Placed,
+            attempts: Vec::new(),
+        };
+        let attempt = self.open_attempt(&task.ask, machine, 0.0, true, false);
+        task.attempts.push(attempt);
+        self.tasks.insert(ask.request, task);
+    }
+
+    fn place_held(&mut self) {
+        let due = self.now >= self.next_try && self.room_news;
+        let mut waiting = std::mem::take(&mut self.held);
+        waiting.retain(|r| self.tasks.get(r).is_some_and(|t| t.stage == Stage::Held));
+        if due && !waiting.is_empty() {
+            // Danger: when room is short the first in line would take it; the most worth for its room goes first.
+            let mut ranked: Vec<(f64, RequestId)> = waiting.iter().map(|&r| (self.value(r), r)).collect();
+            ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            waiting = ranked.into_iter().map(|(_, r)| r).collect();
+            self.room_news = false;
+            self.next_try = self.now + self.shortest_aim() / 32;
+            waiting.retain(|&r| !self.try_place(r));
+        }
+        let margin = self.margin();
+        for request in waiting {
+            match self.tasks.get(&request) {
+                Some(task) if task.deadline <= self.now + margin => self.answer_no(request),
+                _ => self.held.push(request),
+            }
+        }
+    }
+
+    /// Worth for its room: worth goes with size, so only class and timeliness tell.
+    fn value(&self, request: RequestId) -> f64 {
+        let Some(task) = self.tasks.get(&request) else {
+            return 0.0;
+        };
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let timely = self.now < task.arrived + class.aim;
+        class.worth * class.start_seconds.max(1.0) * (2.0 + if timely { 1.0 } else { class.late_worth })
+    }
+
+    fn shortest_aim(&self) -> Micros {
+        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(self.settings.ask_every)
+    }
+
+    /// Time to spare before a deadline: answers count for a little longer, batches come a tick apart.
+    fn margin(&self) -> Micros {
+        self.settings.answer_slack + 2 * self.settings.tick
+    }
+
+    // ---- The filter and the draw ----
+
+    /// Draws a machine and offers the task; false leaves it held.
+    fn try_place(&mut self, request: RequestId) -> bool {
+        let Some(task) = self.tasks.get(&request) else {
+            return true;
+        };
+        if task.deadline <= self.now + self.margin() {
+            return false;
+        }
+        let mean_others = self.mean_others();
+        let mut set: Vec<&Machine> =
+            self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
+        self.keep_comfortable(&mut set, task, mean_others);
+        self.keep_timely(&mut set, task);
+        let set: Vec<(MachineId, f64, f64)> =
+            set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
+        let Some(machine) = self.draw(set) else {
+            return false;
+        };
+        self.offer(request, machine);
+        true
+    }
+
+    /// An unheard machine starts at the mean of those heard.
+    fn mean_others(&self) -> [f64; 2] {
+        let mut sum = [0.0; 2];
+        let mut heard = 0.0;
+        for others in self.machines.values().filter_map(|m| m.others) {
+            heard += 1.0;
+            (sum[0], sum[1]) = (sum[0] + others[0], sum[1] + others[1]);
+        }
+        if heard == 0.0 { sum } else { [sum[0] / heard, sum[1] / heard] }
+    }
+
+    fn may_take(&self, m: &Machine, task: &Task, mean_others: [f64; 2]) -> bool {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        m.line.state == MachineState::Ready
+            && class.kind.is_none_or(|k| k == m.line.kind)
+            && self.now >= m.rests_until
+            && self.fits(m, &task.ask, mean_others)
+            && (!m.suspect || self.may_try_suspect(m, class))
+            && self.group_allows(m, task, class)
+            && self.spread_allows(m, task, class)
+            && self.cold_allows(m)
+    }
+
+    fn fits(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
+        let asked = m.asked(mean_others);
+        let refused = m.refused.is_some_and(|r| ask.cores >= r[0] && ask.memory >= r[1]);
+        !refused
+            && asked[0] + ask.cores <= self.settings.accepts_cores * m.cores
+            && asked[1] + ask.memory <= self.settings.accepts_memory * m.memory
+    }
+
+    /// Danger: a machine that answers nothing keeps an inviting entry and swallows task after task. It gets a
+    /// single trial at growing intervals, with a task that may run twice.
+    fn may_try_suspect(&self, m: &Machine, class: &Class) -> bool {
+        self.now >= m.trial_at && class.repeat == Repeat::Safe
+    }
+
+    /// Danger: a keyed task that may have run starts a second time on machines that do not know its key.
+    fn group_allows(&self, m: &Machine, task: &Task, class: &Class) -> bool {
+        let Some(first) = task.attempts.iter().find(|a| a.may_have_run) else {
+            return true;
+        };
+        match class.repeat {
+            Repeat::Safe => true,
+            Repeat::Unsafe => false,
+            Repeat::Keyed { group, window } => {
+                self.now + self.settings.tick < first.sent_at + window
+                    && match group {
+                        Group::All => true,
+                        Group::Zone => m.line.zone == first.zone,
+                        Group::Rack => m.line.rack == first.rack && m.line.zone == first.zone,
+                    }
+            }
+        }
+    }
+
+    /// Danger: a bind that crowds a service into one place; everything without an end counts.
+    fn spread_allows(&self, m: &Machine, task: &Task, class: &Class) -> bool {
+        let Some(held) = self.services.get(&task.ask.service) else {
+            return class.most > 0;
+        };
+        let same_place = |other: &MachineLine| match class.spread {
+            Spread::Off => false,
+            Spread::Machine => other.machine == m.line.machine,
+            Spread::Rack => other.rack == m.line.rack && other.zone == m.line.zone,
+            Spread::Zone => other.zone == m.line.zone,
+        };
+        let lines = held.iter().filter_map(|(id, n)| self.machines.get(id).map(|o| (&o.line, *n)));
+        let count: u32 = lines.filter(|(line, _)| same_place(line)).map(|(_, n)| n).sum();
+        class.spread == Spread::Off || count < class.most
+    }
+
+    /// Danger: all schedulers together push a fresh machine over. Each keeps to its share of the offers that
+    /// it always bears, in any window, until it is warm for sure; refused offers count too.
+    fn cold_allows(&self, m: &Machine) -> bool {
+        if !self.is_cold(m) {
+            return true;
+        }
+        let window = self.settings.fall_window + self.settings.fall_window / 4;
+        // What an earlier life of this scheduler sent within the window is not known.
+        if self.born.is_some_and(|born| self.now < born + window) && m.line.started_at > 0 {
+            return false;
+        }
+        let share = self.settings.cold_bears / f64::from(self.settings.schedulers.max(1));
+        let recent = m.offers.iter().filter(|at| **at + window > self.now).count();
+        (recent as f64) + 1.0 <= share
+    }
+
+    fn is_cold(&self, m: &Machine) -> bool {
+        let warm_at = m.line.started_at + self.settings.warm_within + self.settings.warm_within / 8;
+        m.line.started_at > 0 && self.now < warm_at
+    }
+
+    /// Danger: cores past the calm share serve everyone worse and memory past its fill evicts; the asks do
+    /// not show it. Machines that would stay below both are preferred.
+    fn keep_comfortable(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+        let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
+        let ask = [task.ask.cores * self.use_ratio[0], task.ask.memory * self.use_ratio[1]];
+        narrow(set, |m| {
+            let used = self.expected_use(m, mean_others);
+            used[0] + ask[0] <= calm * m.cores && used[1] + ask[1] <= MEMORY_FILL * m.memory
+        });
+    }
+
+    fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
+        let asked = m.asked(mean_others);
+        let used = |i: usize| (asked[i] * self.use_ratio[i] + m.excess[i]).max(0.0);
+        [used(0), used(1)]
+    }
+
+    /// Danger: a start without the program costs many times more and misses the aim, which is worth many
+    /// seconds of service; so does a start behind many others. Machines expected to make the aim are preferred.
+    fn keep_timely(&self, set: &mut Vec<&Machine>, task: &Task) {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let left = (task.arrived + class.aim).saturating_sub(self.now) as f64 * AIM_SHARE;
+        let soonest = set.iter().map(|m| self.start_estimate(m, &task.ask)).fold(f64::INFINITY, f64::min);
+        let limit = left.max(soonest * NEAR_SOONEST);
+        narrow(set, |m| self.start_estimate(m, &task.ask) <= limit);
+    }
+
+    fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
+        let cold = usize::from(!m.holds_program(ask.service));
+        let own = self.start_times[usize::from(ask.class)][cold];
+        let left =
+            |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(estimate * LEARN);
+        // Machines start a few tasks at a time: about half of what is before this one delays it.
+        let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.5;
+        let warmth = if self.is_cold(m) {
+            let up = (self.now.saturating_sub(m.line.started_at)) as f64;
+            let part = (up / self.settings.warm_within.max(1) as f64).min(1.0);
+            self.settings.cold_from + (1.0 - self.settings.cold_from) * part
+        } else {
+            1.0
+        };
+        (own * m.pace + before) / warmth.max(0.05)
+    }
+
+    /// The entry: the larger share of cores or memory, as asked of what it accepts or as used of what it has.
+    fn entry(&self, m: &Machine, mean_others: [f64; 2]) -> f64 {
+        let asked = m.asked(mean_others);
+        let used = self.expected_use(m, mean_others);
+        let cores = (asked[0] / self.settings.accepts_cores).max(used[0]) / m.cores.max(1e-9);
+        let memory = (asked[1] / self.settings.accepts_memory).max(used[1]) / m.memory.max(1e-9);
+        cores.max(memory)
+    }
+
+    /// L-JBA: among those at or below the mean entry, with chance by cores.
+    fn draw(&mut self, mut set: Vec<(MachineId, f64, f64)>) -> Option<MachineId> {
+        let mean = set.iter().map(|(_, _, entry)| entry).sum::<f64>() / set.len().max(1) as f64;
+        set.retain(|(_, _, entry)| *entry <= mean + 1e-9);
+        let total: f64 = set.iter().map(|(_, cores, _)| cores).sum();
+        let mut left = self.rng.f64() * total;
+        for (machine, cores, _) in &set {
+            left -= cores;
+            if left < 0.0 {
+                return Some(*machine);
+            }
+        }
+        set.last().map(|(machine, _, _)| *machine)
+    }
+
+    // ---- The offer ----
+
+    fn offer(&mut self, request: RequestId, machine: MachineId) {
+        let Some(mut task) = self.tasks.remove(&request) else {
+            return;
+        };
+        let m = &self.machines[&machine];
+        let (estimate, warm) = (self.start_estimate(m, &task.ask), m.holds_program(task.ask.service));
+        let timeout = self.patience(&task, estimate);
+        let attempt = self.open_attempt(&task.ask, machine, estimate, warm, true);
+        task.attempts.push(attempt);
+        task.stage = Stage::Offered;
+        self.tasks.insert(request, task);
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.offers.push_back(self.now);
+            while m.offers.len() > 1024 {
+                m.offers.pop_front();
+            }
+            if m.suspect {
+                self.after_trial(machine);
+            }
+        }
+        self.out.push(Action::Bind { request, machine, timeout });
+        self.probe_some();
+    }
+
+    /// Adds the task to its entry at once.
+    fn open_attempt(
+        &mut self,
+        ask: &Request,
+        machine: MachineId,
+        estimate: f64,
+        warm: bool,
+        starting: bool,
+    ) -> Attempt {
+        let now = self.now;
+        let m = self.machines.entry(machine).or_insert_with(|| {
+            // A task handed over on a machine that no list has named yet: it is counted, not sent to.
+            let line = MachineLine {
+                machine,
+                state: MachineState::Gone,
+                kind: u8::MAX,
+                rack: u16::MAX,
+                zone: u8::MAX,
+                started_at: 0,
+                free_cores: None,
+                free_memory: None,
+            };
+            Machine::new(line, None)
+        });
+        m.add_own(now, ask, 1.0);
+        let program = m.programs.entry(ask.service).or_insert((0, now));
+        *program = (program.0 + 1, now);
+        if starting {
+            m.starting.insert(ask.request, (now, estimate));
+            m.unanswered.insert(ask.request, now);
+        }
+        *self.services.entry(ask.service).or_default().entry(machine).or_insert(0) += 1;
+        let (rack, zone) = (m.line.rack, m.line.zone);
+        let (open, may_have_run) = (true, false);
+        Attempt { machine, rack, zone, sent_at: now, estimate, warm, open, starting, may_have_run }
+    }
+
+    /// Danger: a silent machine holds a task until its deadline. An attempt is given up while another could
+    /// still succeed; one that must not run twice waits where only the end of its start is told.
+    fn patience(&self, task: &Task, estimate: f64) -> Option<Micros> {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let left = task.deadline.saturating_sub(self.now) as f64;
+        let wait = match self.settings.confirms {
+            Confirms::Accepted => class.aim as f64,
+            Confirms::Running => (estimate * OVERDUE).max(class.aim as f64 * OVERDUE),
+        };
+        let retry = self.start_times[usize::from(task.ask.class)][0].max(class.aim as f64 * 0.5);
+        let last = task.attempts.len() + 1 >= self.settings.max_attempts as usize;
+        let keeps = match class.repeat {
+            Repeat::Safe | Repeat::Keyed { .. } => last || wait + retry > left,
+            Repeat::Unsafe => self.settings.confirms == Confirms::Running || wait * OVERDUE > left,
+        };
+        (!keeps).then_some(wait as Micros)
+    }
+
+    fn probe_some(&mut self) {
+        if !self.settings.probes || self.rng.f64() >= PROBE_CHANCE {
+            return;
+        }
+        let ready = |m: &&Machine| m.line.state == MachineState::Ready;
+        let ids: Vec<MachineId> = self.machines.values().filter(ready).map(|m| m.line.machine).collect();
+        if !ids.is_empty() {
+            let machine = ids[self.rng.usize(0..ids.len())];
+            self.out.push(Action::Probe(machine));
+        }
+    }
+
+    // ---- What machines answer ----
+
+    fn on_heard(&mut self, machine: MachineId) {
+        let Some(m) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        m.heard_at = self.now;
+        if m.suspect {
+            m.suspect = false;
+            self.room_news = true;
+            self.out.push(Action::Log(format!("machine {:x} answers again", machine.0)));
+        }
+    }
+
+    fn on_placed(&mut self, request: RequestId, attempt: u16, machine: MachineId) {
+        self.on_heard(machine);
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.unanswered.remove(&request);
+        }
+        if self.settings.confirms == Confirms::Running {
+            self.on_runs(request, attempt);
+        }
+        if let Some(task) = self.tasks.get_mut(&request).filter(|t| t.stage == Stage::Offered) {
+            task.stage = Stage::Placed;
+        }
+    }
+
+    /// A start is over: what it took teaches the estimates of its class and of its machine's pace.
+    fn on_runs(&mut self, request: RequestId, attempt: u16) {
+        let Some(task) = self.tasks.get_mut(&request) else {
+            return;
+        };
+        let Some(a) = task.attempts.get_mut(usize::from(attempt)).filter(|a| a.starting) else {
+            return;
+        };
+        a.starting = false;
+        let took = (self.now - a.sent_at) as f64;
+        let time = &mut self.start_times[usize::from(task.ask.class)][usize::from(!a.warm)];
+        *time += LEARN * (took.min(*time * 4.0) - *time);
+        if let Some(m) = self.machines.get_mut(&a.machine) {
+            m.starting.remove(&request);
+            let pace = (took / a.estimate.max(1.0)).clamp(0.25, 4.0);
+            m.pace = (m.pace * (1.0 + LEARN * (pace - 1.0))).clamp(0.5, 2.0);
+        }
+    }
+
+    fn on_note(&mut self, request: RequestId, attempt: u16, machine: MachineId, note: Note) {
+        self.on_heard(machine);
+        let Some(task) = self.tasks.get(&request) else {
+            return;
+        };
+        let ask = [task.ask.cores, task.ask.memory];
+        match note {
+            Note::Runs => self.on_runs(request, attempt),
+            Note::CoresUsed(x) => self.learn_use(0, x, ask[0], LEARN / 4.0),
+            Note::MemoryUsed(x) => self.learn_use(1, x, ask[1], LEARN / 4.0),
+            Note::Served(x) => {
+                let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
+                self.learn_excess(machine, [Some(calm + (1.0 - x).max(0.0) * (1.0 - calm)), None]);
+            }
+            Note::MachineMemory(x) => self.learn_excess(machine, [None, Some(x)]),
+        }
+    }
+
+    fn learn_use(&mut self, i: usize, used: f64, asked: f64, weight: f64) {
+        if used.is_finite() && asked > 0.0 && used >= 0.0 {
+            let ratio = (used / asked).min(2.0);
+            self.use_ratio[i] += weight * (ratio - self.use_ratio[i]);
+        }
+    }
+
+    /// What a machine uses beyond what its asks explain: neighbours, hungry services.
+    fn learn_excess(&mut self, machine: MachineId, busy: [Option<f64>; 2]) {
+        let mean = self.mean_others();
+        let ratio = self.use_ratio;
+        let Some(m) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        let (asked, size) = (m.asked(mean), [m.cores, m.memory]);
+        for i in 0..2 {
+            if let Some(share) = busy[i].filter(|b| b.is_finite()) {
+                m.excess[i] += LEARN * 3.0 * (share * size[i] - asked[i] * ratio[i] - m.excess[i]);
+            }
+        }
+    }
+
+    fn on_load(&mut self, machine: MachineId, load: &Load) {
+        self.room_news = true;
+        let mean = self.mean_others();
+        let then = self.now.saturating_sub(self.shortest_aim() / 2);
+        let Some(m) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        let (size, asked) = ([m.cores, m.memory], m.asked(mean));
+        let free = [load.free_cores, load.free_memory];
+        let mut busy = [load.busy, None];
+        match self.settings.report_counts {
+            ReportCounts::Asked => {
+                if let [Some(cores), Some(memory)] = free {
+                    m.refused = None;
+                    let asked = [size[0] - cores, size[1] - memory];
+                    Scheduler::learn_others(&self.settings, m, asked, then, LEARN * 3.0);
+                }
+            }
+            ReportCounts::Used => {
+                for i in 0..2 {
+                    busy[i] = free[i].map(|f| 1.0 - f / size[i].max(1e-9)).or(busy[i]);
+                }
+            }
+        }
+        for i in 0..2 {
+            // A nearly empty machine says nothing of what tasks use.
+            if let Some(share) = busy[i].filter(|_| asked[i] > size[i] * 0.25) {
+                self.learn_use(i, share * size[i], asked[i], LEARN / 4.0);
+            }
+        }
+        self.learn_excess(machine, busy);
+    }
+
+    // ---- The end of an attempt ----
+
+    fn on_ended(
+        &mut self,
+        request: RequestId,
+        attempt: u16,
+        machine: MachineId,
+        outcome: Outcome,
+        why: Why,
+        over: bool,
+    ) {
+        let silent = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::NotSent);
+        if !silent && outcome != Outcome::Withdrawn {
+            self.on_heard(machine);
+        }
+        let Some(mut task) = self.tasks.remove(&request) else {
+            return;
+        };
+        let Some(a) = task.attempts.get_mut(usize::from(attempt)).filter(|a| a.open) else {
+            self.tasks.insert(request, task);
+            return;
+        };
+        let sent_at = a.sent_at;
+        a.open = false;
+        a.starting = false;
+        a.may_have_run = !matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
+        let at = a.machine;
+        self.close_attempt(&task.ask, at);
+        match outcome {
+            Outcome::Refused => self.on_refused(at, &task.ask, why),
+            Outcome::TimedOut | Outcome::Unreachable => self.on_silent(at, sent_at),
+            _ => {}
+        }
+        if over {
+            task.stage = Stage::Over;
+        }
+        let goes_on = task.stage == Stage::Offered;
+        if task.stage == Stage::Over && !task.attempts.iter().any(|a| a.open) {
+            return;
+        }
+        if goes_on {
+            task.stage = Stage::Held;
+        }
+        let spent = task.attempts.len() >= self.settings.max_attempts as usize;
+        let hopeless = spent || outcome == Outcome::NotSent || !self.may_send_again(&task);
+        self.tasks.insert(request, task);
+        if goes_on && hopeless {
+            self.answer_no(request);
+        } else if goes_on && !self.try_place(request) {
+            self.held.push(request);
+        }
+    }
+
+    /// Own tasks that end or are lost leave the entry; the program stays a while.
+    fn close_attempt(&mut self, ask: &Request, machine: MachineId) {
+        self.room_news = true;
+        let now = self.now;
+        if let Some(held) = self.services.get_mut(&ask.service) {
+            if let Some(n) = held.get_mut(&machine) {
+                *n = n.saturating_sub(1);
+            }
+            held.retain(|_, n| *n > 0);
+            if held.is_empty() {
+                self.services.remove(&ask.service);
+            }
+        }
+        let Some(m) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        m.add_own(now, ask, -1.0);
+        m.refused = None;
+        m.starting.remove(&ask.request);
+        m.unanswered.remove(&ask.request);
+        if let Some(program) = m.programs.get_mut(&ask.service) {
+            *program = (program.0.saturating_sub(1), now);
+        }
+        let mut idle: Vec<(Micros, ServiceId)> =
+            m.programs.iter().filter(|(_, p)| p.0 == 0).map(|(s, p)| (p.1, *s)).collect();
+        idle.sort();
+        for (_, service) in idle.iter().rev().skip(PROGRAMS) {
+            m.programs.remove(service);
+        }
+        if !m.programs.values().any(|p| p.0 > 0) {
+            m.own = [0.0; 2];
+        }
+    }
+
+    /// A refusal marks the entry full for what is as large, until there is news of it.
+    fn on_refused(&mut self, machine: MachineId, ask: &Request, why: Why) {
+        let pause = self.shortest_aim();
+        let Some(m) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        match why {
+            Why::NoCores => m.refused = Some([ask.cores, 0.0]),
+            Why::NoMemory => m.refused = Some([0.0, ask.memory]),
+            Why::Busy => m.rests_until = self.now + pause / 4,
+            // Draining before the list says so, or another reason that the table cannot show.
+            _ => m.rests_until = self.now + pause * 2,
+        }
+    }
+
+    fn may_send_again(&self, task: &Task) -> bool {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let Some(first) = task.attempts.iter().find(|a| a.may_have_run) else {
+            return true;
+        };
+        match class.repeat {
+            Repeat::Safe => true,
+            Repeat::Unsafe => false,
+            Repeat::Keyed { window, .. } => self.now + self.settings.tick < first.sent_at + window,
+        }
+    }
+
+    /// The last answer to a task that is not placed: a refusal only where a retry is known to be harmless.
+    fn answer_no(&mut self, request: RequestId) {
+        let Some(task) = self.tasks.get(&request) else {
+            return;
+        };
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let may_have_run = task.attempts.iter().any(|a| a.open || a.may_have_run);
+        let harmless = match class.repeat {
+            Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
+            Repeat::Keyed { .. } | Repeat::Unsafe => !may_have_run,
+        };
+        self.out.push(match harmless {
+            true => Action::Refuse { request, retry_after: None },
+            false => Action::Fail(request),
+        });
+        self.close(request);
+    }
+
+    /// The request is over; attempts still out are counted until their end is told.
+    fn close(&mut self, request: RequestId) {
+        let Some(task) = self.tasks.get_mut(&request) else {
+            return;
+        };
+        task.stage = Stage::Over;
+        if !task.attempts.iter().any(|a| a.open) {
+            self.tasks.remove(&request);
+        }
+    }
+
+    // ---- Silence ----
+
+    fn on_silent(&mut self, machine: MachineId, sent_at: Micros) {
+        let wait = self.shortest_aim() * 2;
+        let Some(m) = self.machines.get_mut(&machine).filter(|m| m.heard_at <= sent_at && !m.suspect) else {
+            return;
+        };
+        (m.suspect, m.trial_wait) = (true, wait);
+        m.trial_at = self.now + wait;
+        self.out.push(Action::Log(format!("machine {:x} answers nothing", machine.0)));
+    }
+
+    fn after_trial(&mut self, machine: MachineId) {
+        let most = self.settings.ask_every / 2;
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.trial_wait = (m.trial_wait * 2).min(most);
+            m.trial_at = self.now + m.trial_wait;
+        }
+    }
+
+    /// Danger: each attempt waits out its own patience while its silent machine goes on drawing others.
+    fn look_for_silence(&mut self) {
+        let least = self.shortest_aim() as f64;
+        let overdue = |m: &Machine| {
+            let first = m.unanswered.values().copied().min()?;
+            let longest = m.starting.values().map(|(_, estimate)| *estimate).fold(0.0, f64::max);
+            let wait = match self.settings.confirms {
+                Confirms::Accepted => least,
+                Confirms::Running => (longest * OVERDUE).max(least),
+            };
+            (m.heard_at.max(first) as f64 + wait < self.now as f64).then_some(m.line.machine)
+        };
+        let silent: Vec<MachineId> =
+            self.machines.values().filter(|m| !m.suspect).filter_map(overdue).collect();
+        for machine in silent {
+            self.on_silent(machine, self.now);
+        }
+        if self.settings.probes {
+            let due =
+                |m: &&Machine| m.suspect && m.trial_at <= self.now && m.line.state == MachineState::Ready;
+            let due: Vec<MachineId> = self.machines.values().filter(due).map(|m| m.line.machine).collect();
+            for machine in due {
+                self.after_trial(machine);
+                self.out.push(Action::Probe(machine));
+            }
+        }
+    }
+
+    // ---- Timers ----
+
+    fn set_wake(&mut self) {
+        let margin = self.margin();
+        let ends =
+            self.held.iter().filter_map(|r| self.tasks.get(r)).map(|t| t.deadline - margin.min(t.deadline));
+        let retry = (!self.held.is_empty()).then(|| self.now + self.shortest_aim() / 8);
+        let wake = ends.chain(retry).chain(self.watch_at).min();
+        if let Some(at) = wake.map(|at| at.max(self.now + 1)).filter(|at| *at < self.wake) {
+            self.wake = at;
+            self.room_news |= retry.is_some();
+            self.out.push(Action::SetTimer { label: 0, at });
+        }
+    }
+}
+
+/// Keeps those that pass, unless none does.
+fn narrow(set: &mut Vec<&Machine>, passes: impl Fn(&Machine) -> bool) {
+    if set.iter().any(|m| passes(m)) {
+        set.retain(|m| passes(m));
+    }
+}
