Refusals fill the entry and a short offer line is learned

Cause: after 'no cores' or 'no memory' the entry stayed inviting, and a machine with a full offer line drew everything that was held.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,7 +61,9 @@
     others: Option<[f64; 2]>,
     excess: [f64; 2],
     refused: Option<[f64; 2]>,
+    refused_until: Micros,
     rests_until: Micros,
+    offer_line: f64,
     starting: Table<RequestId, (Micros, f64)>,
     unanswered: Table<RequestId, Micros>,
     heard_at: Micros,
@@ -85,7 +87,9 @@
             others: None,
             excess: [0.0; 2],
             refused: None,
+            refused_until: 0,
             rests_until: 0,
+            offer_line: f64::INFINITY,
             starting: Table::new(),
             unanswered: Table::new(),
             heard_at: 0,
@@ -269,7 +273,6 @@
             let asked = [cores - free_cores, memory - free_memory];
             let then = self.now.saturating_sub(lag);
             Scheduler::learn_others(&self.settings, machine, asked, then, LEARN * 2.0);
-            machine.refused = None;
         }
     }
 
@@ -417,6 +420,7 @@
         m.line.state == MachineState::Ready
             && class.kind.is_none_or(|k| k == m.line.kind)
             && self.now >= m.rests_until
+            && (m.unanswered.len() as f64) < m.offer_line.max(1.0)
             && self.fits(m, &task.ask, mean_others)
             && (!m.suspect || self.may_try_suspect(m, class))
             && self.group_allows(m, task, class)
@@ -426,7 +430,8 @@
 
     fn fits(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
         let asked = m.asked(mean_others);
-        let refused = m.refused.is_some_and(|r| ask.cores >= r[0] && ask.memory >= r[1]);
+        let refused = m.refused.filter(|_| self.now < m.refused_until);
+        let refused = refused.is_some_and(|r| ask.cores >= r[0] && ask.memory >= r[1]);
         !refused
             && asked[0] + ask.cores <= self.settings.accepts_cores * m.cores
             && asked[1] + ask.memory <= self.settings.accepts_memory * m.memory
@@ -673,6 +678,7 @@
         self.on_heard(machine);
         if let Some(m) = self.machines.get_mut(&machine) {
             m.unanswered.remove(&request);
+            m.offer_line += 1.0 / m.offer_line.max(1.0);
         }
         if self.settings.confirms == Confirms::Running {
             self.on_runs(request, attempt);
@@ -754,7 +760,6 @@
         match self.settings.report_counts {
             ReportCounts::Asked => {
                 if let [Some(cores), Some(memory)] = free {
-                    m.refused = None;
                     let asked = [size[0] - cores, size[1] - memory];
                     Scheduler::learn_others(&self.settings, m, asked, then, LEARN * 3.0);
                 }
@@ -861,19 +866,35 @@
         }
     }
 
-    /// A refusal marks the entry full for what is as large, until there is news of it.
+    /// A refusal marks the entry full. Danger: a table that is wrong about one machine sends it everything
+    /// that is held, and each offer is turned away at once.
     fn on_refused(&mut self, machine: MachineId, ask: &Request, why: Why) {
         let pause = self.shortest_aim();
-        let Some(m) = self.machines.get_mut(&machine) else {
-            return;
-        };
-        match why {
-            Why::NoCores => m.refused = Some([ask.cores, 0.0]),
-            Why::NoMemory => m.refused = Some([0.0, ask.memory]),
-            Why::Busy => m.rests_until = self.now + pause / 4,
+        let accepts = [self.settings.accepts_cores, self.settings.accepts_memory];
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        let (size, asks) = ([m.cores, m.memory], [ask.cores, ask.memory]);
+        let short = match why {
+            Why::NoCores => 0,
+            Why::NoMemory => 1,
+            Why::Busy => {
+                // The line of offers is shorter than thought: half of what waits, then one more a round.
+                m.offer_line = (m.unanswered.len() as f64 / 2.0).max(1.0);
+                m.rests_until = self.now + pause / 8;
+                return;
+            }
             // Draining before the list says so, or another reason that the table cannot show.
-            _ => m.rests_until = self.now + pause * 2,
-        }
+            _ => {
+                m.rests_until = self.now + pause * 2;
+                return;
+            }
+        };
+        // Less than this task's ask was free: what own tasks do not explain, others asked.
+        let others = m.others.get_or_insert([0.0; 2]);
+        others[short] = others[short].max(accepts[short] * size[short] - asks[short] - m.own[short]);
+        let mut refused = [0.0; 2];
+        refused[short] = asks[short];
+        m.refused = Some(refused);
+        m.refused_until = self.now + pause;
     }
 
     fn may_send_again(&self, task: &Task) -> bool {
