--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,8 +20,6 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
-/// The machines in use are filled to this share on the whole; the rest absorbs swings of the load.
-const IN_USE_FILL: f64 = 0.85;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -396,7 +394,6 @@
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
         self.keep_comfortable(&mut set, task, mean_others);
-        self.keep_in_use(&mut set, mean_others);
         self.keep_timely(&mut set, task);
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
@@ -513,33 +510,6 @@
         });
     }
 
-    /// Danger: spread over all, a light load keeps every machine in use, and each beyond the needed has its
-    /// price. The first machines by id that hold the present load with room to spare are preferred; ids are
-    /// the same for all schedulers, so that they agree without a word.
-    fn keep_in_use(&self, set: &mut Vec<&Machine>, mean_others: [f64; 2]) {
-        if self.settings.fleet_price <= 0.0 {
-            return;
-        }
-        let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
-        let mut load = [0.0; 2];
-        for m in self.machines.values().filter(|m| m.line.state != MachineState::Gone) {
-            let asked = m.asked(mean_others);
-            (load[0], load[1]) = (load[0] + asked[0], load[1] + asked[1]);
-        }
-        let mut room = [0.0; 2];
-        let mut last = MachineId(0);
-        let able = |m: &&Machine| m.line.state == MachineState::Ready && !m.suspect && !self.is_cold(m);
-        for m in self.machines.values().filter(able) {
-            if room[0] * IN_USE_FILL >= load[0] && room[1] * IN_USE_FILL >= load[1] {
-                break;
-            }
-            room[0] += m.cores * self.settings.accepts_cores.min(calm / self.use_ratio[0].max(0.1));
-            room[1] += m.memory * self.settings.accepts_memory.min(MEMORY_FILL / self.use_ratio[1].max(0.1));
-            last = m.line.machine;
-        }
-        narrow(set, |m| m.line.machine <= last);
-    }
-
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
         let asked = m.asked(mean_others);
         let used = |i: usize| (asked[i] * self.use_ratio[i] + m.excess[i]).max(0.0);
