--- a/src/choice.rs
+++ b/src/choice.rs
@@ -637,7 +637,8 @@
         let left = task.deadline.saturating_sub(self.now) as f64;
         let wait = match self.settings.confirms {
             Confirms::Accepted => class.aim as f64,
-            Confirms::Running => (estimate * OVERDUE).max(class.aim as f64 * OVERDUE),
+            // A start that is cut off is lost work, so half of what is left is waited at least.
+            Confirms::Running => (estimate * OVERDUE).max(left / 2.0),
         };
         let retry = self.start_times[usize::from(task.ask.class)][0].max(class.aim as f64 * 0.5);
         let last = task.attempts.len() + 1 >= self.settings.max_attempts as usize;
