Draw among one machine a rack where no holder of the program is known

Also meant for a flush and for restarts of a scheduler, which forget the holders; it may hurt where racks are large and one machine a rack fills up, where the rank falls to the next.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -394,6 +394,7 @@
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
         self.keep_comfortable(&mut set, task, mean_others);
+        self.keep_home(&mut set, task.ask.service);
         self.keep_timely(&mut set, task);
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
@@ -526,6 +527,22 @@
         narrow(set, |m| self.start_estimate(m, &task.ask) <= limit);
     }
 
+    /// Danger: a service whose program this scheduler has seen nowhere starts on ever new machines, though
+    /// another scheduler's tasks left the program somewhere. Without a known holder the draw keeps to one
+    /// machine a rack, ranked by service and id: all schedulers come to the same ones without a word.
+    fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
+        if set.iter().any(|m| m.holds_program(service)) {
+            return;
+        }
+        let mut homes: Table<(u8, u16), (u64, MachineId)> = Table::new();
+        for m in set.iter() {
+            let rank = (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
+            let home = homes.entry((m.line.zone, m.line.rack)).or_insert(rank);
+            *home = rank.max(*home);
+        }
+        narrow(set, |m| homes.values().any(|(_, id)| *id == m.line.machine));
+    }
+
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
         let cold = usize::from(!m.holds_program(ask.service));
         let own = self.start_times[usize::from(ask.class)][cold];
@@ -1009,3 +1026,10 @@
         set.retain(|m| passes(m));
     }
 }
+
+/// A fixed mixing of an id's bits (the finish of splitmix64), equal at every scheduler.
+fn scatter(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
