--- a/src/choice.rs
+++ b/src/choice.rs
@@ -393,9 +393,9 @@
         let mean_others = self.mean_others();
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
-        self.keep_comfortable(&mut set, task, mean_others);
         self.keep_home(&mut set, task.ask.service);
         self.keep_timely(&mut set, task);
+        self.keep_comfortable(&mut set, task, mean_others);
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
         let Some(machine) = self.draw(set) else {
