--- a/src/choice.rs
+++ b/src/choice.rs
@@ -153,6 +153,8 @@
         // Before any start is seen: one without the program misses the aim, one with it takes a part of it.
         let start_times = settings.classes.iter().map(|c| [c.aim as f64 * 0.25, c.aim as f64 * 2.0]);
         Scheduler {
+            // Before any use is seen: a machine full by asks is taken to be full by use.
+            use_ratio: [1.0 / settings.accepts_cores.max(1.0), 1.0 / settings.accepts_memory.max(1.0)],
             start_times: start_times.collect(),
             rng: fastrand::Rng::with_seed(seed),
             settings,
@@ -166,7 +168,6 @@
             tasks: Table::new(),
             held: Vec::new(),
             services: Table::new(),
-            use_ratio: [1.0; 2],
             room_news: false,
             next_try: 0,
             wake: Micros::MAX,
@@ -393,9 +394,10 @@
         let mean_others = self.mean_others();
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
+        self.keep_memory_free(&mut set, task, mean_others);
         self.keep_home(&mut set, task.ask.service);
         self.keep_timely(&mut set, task);
-        self.keep_comfortable(&mut set, task, mean_others);
+        self.keep_cores_calm(&mut set, task, mean_others);
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
         let Some(machine) = self.draw(set) else {
@@ -500,15 +502,18 @@
         m.line.started_at > 0 && self.now < warm_at
     }
 
-    /// Danger: cores past the calm share serve everyone worse and memory past its fill evicts; the asks do
-    /// not show it. Machines that would stay below both are preferred.
-    fn keep_comfortable(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+    /// Danger: memory in use at its end evicts tasks, and the asks do not show it. Machines that would keep
+    /// a part of their memory free are preferred before all else.
+    fn keep_memory_free(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+        let ask = task.ask.memory * self.use_ratio[1];
+        narrow(set, |m| self.expected_use(m, mean_others)[1] + ask <= MEMORY_FILL * m.memory);
+    }
+
+    /// Danger: cores busy past the calm share serve everyone worse. Machines below it are preferred.
+    fn keep_cores_calm(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
         let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
-        let ask = [task.ask.cores * self.use_ratio[0], task.ask.memory * self.use_ratio[1]];
-        narrow(set, |m| {
-            let used = self.expected_use(m, mean_others);
-            used[0] + ask[0] <= calm * m.cores && used[1] + ask[1] <= MEMORY_FILL * m.memory
-        });
+        let ask = task.ask.cores * self.use_ratio[0];
+        narrow(set, |m| self.expected_use(m, mean_others)[0] + ask <= calm * m.cores);
     }
 
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
@@ -765,6 +770,16 @@
         }
     }
 
+    /// An eviction tells that memory was all in use: what was asked then is as much as it bears.
+    fn on_evicted(&mut self, machine: MachineId) {
+        let mean = self.mean_others();
+        let Some(m) = self.machines.get(&machine) else { return };
+        let (size, asked) = (m.memory, m.asked(mean)[1]);
+        if asked > 0.0 && size / asked > self.use_ratio[1] {
+            self.learn_use(1, size, asked, LEARN);
+        }
+    }
+
     fn on_load(&mut self, machine: MachineId, load: &Load) {
         self.room_news = true;
         let mean = self.mean_others();
@@ -828,6 +843,7 @@
         match outcome {
             Outcome::Refused => self.on_refused(at, &task.ask, why),
             Outcome::TimedOut | Outcome::Unreachable => self.on_silent(at, sent_at),
+            Outcome::Lost if why == Why::Evicted => self.on_evicted(at),
             _ => {}
         }
         if over {
