--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,7 @@
 //! function of its own below, with the danger it meets. `docs/design.md` tells when each of them acts.
 
 use crate::interface::*;
-use std::collections::VecDeque;
+use crate::state::{Attempt, Machine, Stage, Task, narrow, scatter};
 
 /// Share of memory filled by choice: the last tenth is left for tasks that grow after they start.
 const MEMORY_FILL: f64 = 0.9;
@@ -23,108 +23,6 @@
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
-struct Attempt {
-    machine: MachineId,
-    rack: u16,
-    zone: u8,
-    sent_at: Micros,
-    estimate: f64,
-    warm: bool,
-    open: bool,
-    starting: bool,
-    may_have_run: bool,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Held,
-    Offered,
-    Placed,
-    Over,
-}
-
-struct Task {
-    ask: Request,
-    arrived: Micros,
-    deadline: Micros,
-    stage: Stage,
-    attempts: Vec<Attempt>,
-}
-
-/// One entry of the table.
-struct Machine {
-    line: MachineLine,
-    cores: f64,
-    memory: f64,
-    own: [f64; 2],
-    history: VecDeque<(Micros, [f64; 2])>,
-    others: Option<[f64; 2]>,
-    excess: [f64; 2],
-    refused: Option<[f64; 2]>,
-    refused_until: Micros,
-    rests_until: Micros,
-    offer_line: f64,
-    starting: Table<RequestId, (Micros, f64)>,
-    unanswered: Table<RequestId, Micros>,
-    heard_at: Micros,
-    suspect: bool,
-    trial_at: Micros,
-    trial_wait: Micros,
-    pace: f64,
-    offers: VecDeque<Micros>,
-    programs: Table<ServiceId, (u32, Micros)>,
-}
-
-impl Machine {
-    fn new(line: MachineLine, kind: Option<&Kind>) -> Machine {
-        let (cores, memory) = kind.map_or((0.0, 0.0), |k| (k.cores, k.memory));
-        Machine {
-            line,
-            cores,
-            memory,
-            own: [0.0; 2],
-            history: VecDeque::new(),
-            others: None,
-            excess: [0.0; 2],
-            refused: None,
-            refused_until: 0,
-            rests_until: 0,
-            offer_line: f64::INFINITY,
-            starting: Table::new(),
-            unanswered: Table::new(),
-            heard_at: 0,
-            suspect: false,
-            trial_at: 0,
-            trial_wait: 0,
-            pace: 1.0,
-            offers: VecDeque::new(),
-            programs: Table::new(),
-        }
-    }
-
-    fn asked(&self, others: [f64; 2]) -> [f64; 2] {
-        let others = self.others.unwrap_or(others);
-        [self.own[0] + others[0], self.own[1] + others[1]]
-    }
-
-    fn add_own(&mut self, now: Micros, ask: &Request, sign: f64) {
-        self.history.push_back((now, self.own));
-        if self.history.len() > 256 {
-            self.history.pop_front();
-        }
-        self.own[0] = (self.own[0] + sign * ask.cores).max(0.0);
-        self.own[1] = (self.own[1] + sign * ask.memory).max(0.0);
-    }
-
-    fn own_at(&self, then: Micros) -> [f64; 2] {
-        self.history.iter().find(|(at, _)| *at > then).map_or(self.own, |(_, own)| *own)
-    }
-
-    fn holds_program(&self, service: ServiceId) -> bool {
-        self.programs.contains_key(&service)
-    }
-}
-
 /// One scheduler's decisions: it is told what happened and answers with what to do.
 pub struct Scheduler {
     settings: Settings,
@@ -133,7 +31,6 @@
     born: Option<Micros>,
     machines: Table<MachineId, Machine>,
     version: u64,
-    watching: bool,
     watch_at: Option<Micros>,
     watch_failures: u32,
     tasks: Table<RequestId, Task>,
@@ -162,7 +59,6 @@
             born: None,
             machines: Table::new(),
             version: 0,
-            watching: false,
             watch_at: None,
             watch_failures: 0,
             tasks: Table::new(),
@@ -208,7 +104,7 @@
                 }
             }
             Event::Unwanted(request) => self.close(*request),
-            Event::Timer(_) => self.wake = Micros::MAX,
+            Event::Timer(_) => (self.wake, self.room_news) = (Micros::MAX, true),
             Event::Probed { machine, answered, load } => {
                 if *answered {
                     self.on_heard(*machine);
@@ -225,15 +121,13 @@
 
     fn on_list(&mut self, scope: ListScope, version: u64, lines: &[MachineLine]) {
         if scope == ListScope::Failed {
-            // Danger: all schedulers lose the list at once and would ask again in step; waits grow and scatter.
-            self.watching = false;
+            // Danger: all schedulers lose the list at once and ask again in step; waits grow and scatter.
             self.watch_failures = (self.watch_failures + 1).min(4);
             let wait = (self.settings.ask_every / 32) << self.watch_failures;
             self.watch_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
             return;
         }
         if scope != ListScope::Cached {
-            self.watching = true;
             self.watch_failures = 0;
             self.watch_at = None;
         }
@@ -254,15 +148,17 @@
             self.on_line(line);
         }
         // Bounded state: a machine that left is forgotten with its last task.
-        self.machines.retain(|_, m| m.line.state != MachineState::Gone || m.own != [0.0; 2]);
+        self.machines
+            .retain(|_, m| m.line.state != MachineState::Gone || m.programs.values().any(|p| p.0 > 0));
     }
 
     fn on_line(&mut self, line: &MachineLine) {
         let kind = self.settings.kinds.get(usize::from(line.kind));
-        let lag = self.list_lag();
-        let machine = self.machines.entry(line.machine).or_insert_with(|| Machine::new(line.clone(), kind));
+        // A list is late by delays that are not told: a guess from the settings.
+        let then = self.now.saturating_sub(self.settings.ask_every / 4);
+        let machine = self.machines.entry(line.machine).or_insert_with(|| Machine::new(line.machine));
         let (cores, memory) = kind.map_or((0.0, 0.0), |k| (k.cores, k.memory));
-        (machine.cores, machine.memory) = (cores, memory);
+        (machine.cores, machine.memory, machine.listed) = (cores, memory, true);
         if line.started_at != machine.line.started_at {
             // A restarted process keeps no program, no load and no fault of its earlier life.
             machine.programs.retain(|_, (running, _)| *running > 0);
@@ -272,16 +168,10 @@
         machine.line = line.clone();
         if let (Some(free_cores), Some(free_memory)) = (line.free_cores, line.free_memory) {
             let asked = [cores - free_cores, memory - free_memory];
-            let then = self.now.saturating_sub(lag);
             Scheduler::learn_others(&self.settings, machine, asked, then, LEARN * 2.0);
         }
     }
 
-    /// A list is late by its own delay and the reports'; its age is not told, so a guess from the settings.
-    fn list_lag(&self) -> Micros {
-        self.settings.ask_every / 4
-    }
-
     /// Danger: a late report lacks the binds made since and would erase them from the entry. Own asks are
     /// known exactly, so a report only tells what others asked: its total less what was ours at that time.
     fn learn_others(settings: &Settings, machine: &mut Machine, asked: [f64; 2], then: Micros, weight: f64) {
@@ -324,17 +214,12 @@
 
     fn on_standing(&mut self, ask: &Request, machine: MachineId) {
         let sane = |x: f64| x.is_finite() && x >= 0.0;
-        if self.tasks.contains_key(&ask.request) || !sane(ask.cores) || !sane(ask.memory) {
+        let known = usize::from(ask.class) < self.settings.classes.len();
+        if !known || self.tasks.contains_key(&ask.request) || !sane(ask.cores) || !sane(ask.memory) {
             return;
         }
-        let now = self.now;
-        let mut task = Task {
-            ask: ask.clone(),
-            arrived: now,
-            deadline: now,
-            stage: Stage::Placed,
-            attempts: Vec::new(),
-        };
+        let (now, stage) = (self.now, Stage::Placed);
+        let mut task = Task { ask: ask.clone(), arrived: now, deadline: now, stage, attempts: Vec::new() };
         let attempt = self.open_attempt(&task.ask, machine, 0.0, true, false);
         task.attempts.push(attempt);
         self.tasks.insert(ask.request, task);
@@ -345,7 +230,7 @@
         let mut waiting = std::mem::take(&mut self.held);
         waiting.retain(|r| self.tasks.get(r).is_some_and(|t| t.stage == Stage::Held));
         if due && !waiting.is_empty() {
-            // Danger: when room is short the first in line would take it; the most worth for its room goes first.
+            // Danger: when room is short the first in line takes it; the most worth for its room goes first.
             let mut ranked: Vec<(f64, RequestId)> = waiting.iter().map(|&r| (self.value(r), r)).collect();
             ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             waiting = ranked.into_iter().map(|(_, r)| r).collect();
@@ -425,7 +310,7 @@
             && self.now >= m.rests_until
             && (m.unanswered.len() as f64) < m.offer_line.max(1.0)
             && self.fits(m, &task.ask, mean_others)
-            && (!m.suspect || self.may_try_suspect(m, class))
+            && self.is_trusted(m, class)
             && self.group_allows(m, task, class)
             && self.spread_allows(m, task, class)
             && self.cold_allows(m)
@@ -442,8 +327,8 @@
 
     /// Danger: a machine that answers nothing keeps an inviting entry and swallows task after task. It gets a
     /// single trial at growing intervals, with a task that may run twice.
-    fn may_try_suspect(&self, m: &Machine, class: &Class) -> bool {
-        self.now >= m.trial_at && class.repeat == Repeat::Safe
+    fn is_trusted(&self, m: &Machine, class: &Class) -> bool {
+        !m.suspect || (self.now >= m.trial_at && class.repeat == Repeat::Safe)
     }
 
     /// Danger: a keyed task that may have run starts a second time on machines that do not know its key.
@@ -451,18 +336,13 @@
         let Some(first) = task.attempts.iter().find(|a| a.may_have_run) else {
             return true;
         };
-        match class.repeat {
-            Repeat::Safe => true,
-            Repeat::Unsafe => false,
-            Repeat::Keyed { group, window } => {
-                self.now + self.settings.tick < first.sent_at + window
-                    && match group {
-                        Group::All => true,
-                        Group::Zone => m.line.zone == first.zone,
-                        Group::Rack => m.line.rack == first.rack && m.line.zone == first.zone,
-                    }
+        let same_zone = m.line.zone == first.zone;
+        self.may_send_again(task)
+            && match class.repeat {
+                Repeat::Keyed { group: Group::Zone, .. } => same_zone,
+                Repeat::Keyed { group: Group::Rack, .. } => same_zone && m.line.rack == first.rack,
+                _ => true,
             }
-        }
     }
 
     /// Danger: a bind that crowds a service into one place; everything without an end counts.
@@ -470,14 +350,16 @@
         let Some(held) = self.services.get(&task.ask.service) else {
             return class.most > 0;
         };
-        let same_place = |other: &MachineLine| match class.spread {
+        // A task handed over on a machine that no list names may stand anywhere, so it counts everywhere.
+        let same_place = |o: &Machine| match class.spread {
             Spread::Off => false,
-            Spread::Machine => other.machine == m.line.machine,
-            Spread::Rack => other.rack == m.line.rack && other.zone == m.line.zone,
-            Spread::Zone => other.zone == m.line.zone,
+            _ if !o.listed => true,
+            Spread::Machine => o.line.machine == m.line.machine,
+            Spread::Rack => o.line.rack == m.line.rack && o.line.zone == m.line.zone,
+            Spread::Zone => o.line.zone == m.line.zone,
         };
-        let lines = held.iter().filter_map(|(id, n)| self.machines.get(id).map(|o| (&o.line, *n)));
-        let count: u32 = lines.filter(|(line, _)| same_place(line)).map(|(_, n)| n).sum();
+        let there = held.iter().filter(|(id, _)| self.machines.get(id).is_some_and(same_place));
+        let count: u32 = there.map(|(_, n)| n).sum();
         class.spread == Spread::Off || count < class.most
     }
 
@@ -523,7 +405,7 @@
     }
 
     /// Danger: a start without the program costs many times more and misses the aim, which is worth many
-    /// seconds of service; so does a start behind many others. Machines expected to make the aim are preferred.
+    /// seconds of service; so does a start behind many others. Machines expected to make it are preferred.
     fn keep_timely(&self, set: &mut Vec<&Machine>, task: &Task) {
         let class = &self.settings.classes[usize::from(task.ask.class)];
         let left = (task.arrived + class.aim).saturating_sub(self.now) as f64 * AIM_SHARE;
@@ -555,14 +437,11 @@
             |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(estimate * LEARN);
         // Machines start a few tasks at a time: about half of what is before this one delays it.
         let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.5;
-        let warmth = if self.is_cold(m) {
-            let up = (self.now.saturating_sub(m.line.started_at)) as f64;
-            let part = (up / self.settings.warm_within.max(1) as f64).min(1.0);
-            self.settings.cold_from + (1.0 - self.settings.cold_from) * part
-        } else {
-            1.0
-        };
-        (own * m.pace + before) / warmth.max(0.05)
+        // A fresh machine warms up from the least share it promises.
+        let up = self.now.saturating_sub(m.line.started_at) as f64;
+        let part = if self.is_cold(m) { up / self.settings.warm_within.max(1) as f64 } else { 1.0 };
+        let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * part.min(1.0);
+        (own * m.pace + before) / warmth.max(LEARN)
     }
 
     /// The entry: the larger share of cores or memory, as asked of what it accepts or as used of what it has.
@@ -580,13 +459,11 @@
         set.retain(|(_, _, entry)| *entry <= mean + 1e-9);
         let total: f64 = set.iter().map(|(_, cores, _)| cores).sum();
         let mut left = self.rng.f64() * total;
-        for (machine, cores, _) in &set {
+        let drawn = set.iter().find(|(_, cores, _)| {
             left -= cores;
-            if left < 0.0 {
-                return Some(*machine);
-            }
-        }
-        set.last().map(|(machine, _, _)| *machine)
+            left < 0.0
+        });
+        drawn.or(set.last()).map(|(machine, _, _)| *machine)
     }
 
     // ---- The offer ----
@@ -603,10 +480,9 @@
         task.stage = Stage::Offered;
         self.tasks.insert(request, task);
         if let Some(m) = self.machines.get_mut(&machine) {
+            let window = self.settings.fall_window * 2;
+            m.offers.retain(|at| at + window > self.now);
             m.offers.push_back(self.now);
-            while m.offers.len() > 1024 {
-                m.offers.pop_front();
-            }
             if m.suspect {
                 self.after_trial(machine);
             }
@@ -617,29 +493,12 @@
 
     /// Adds the task to its entry at once.
     fn open_attempt(
-        &mut self,
-        ask: &Request,
-        machine: MachineId,
-        estimate: f64,
-        warm: bool,
-        starting: bool,
+        &mut self, ask: &Request, machine: MachineId, estimate: f64, warm: bool, starting: bool,
     ) -> Attempt {
         let now = self.now;
-        let m = self.machines.entry(machine).or_insert_with(|| {
-            // A task handed over on a machine that no list has named yet: it is counted, not sent to.
-            let line = MachineLine {
-                machine,
-                state: MachineState::Gone,
-                kind: u8::MAX,
-                rack: u16::MAX,
-                zone: u8::MAX,
-                started_at: 0,
-                free_cores: None,
-                free_memory: None,
-            };
-            Machine::new(line, None)
-        });
-        m.add_own(now, ask, 1.0);
+        // A task handed over on a machine that no list has named yet: it is counted, not sent to.
+        let m = self.machines.entry(machine).or_insert_with(|| Machine::new(machine));
+        m.add_own(now, ask, 1.0, self.settings.ask_every);
         let program = m.programs.entry(ask.service).or_insert((0, now));
         *program = (program.0 + 1, now);
         if starting {
@@ -815,12 +674,7 @@
     // ---- The end of an attempt ----
 
     fn on_ended(
-        &mut self,
-        request: RequestId,
-        attempt: u16,
-        machine: MachineId,
-        outcome: Outcome,
-        why: Why,
+        &mut self, request: RequestId, attempt: u16, machine: MachineId, outcome: Outcome, why: Why,
         over: bool,
     ) {
         let silent = matches!(outcome, Outcome::TimedOut | Outcome::Unreachable | Outcome::NotSent);
@@ -835,8 +689,7 @@
             return;
         };
         let sent_at = a.sent_at;
-        a.open = false;
-        a.starting = false;
+        (a.open, a.starting) = (false, false);
         a.may_have_run = !matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
         let at = a.machine;
         self.close_attempt(&task.ask, at);
@@ -846,16 +699,15 @@
             Outcome::Lost if why == Why::Evicted => self.on_evicted(at),
             _ => {}
         }
-        if over {
+        let goes_on = !over && task.stage == Stage::Offered;
+        if goes_on {
+            task.stage = Stage::Held;
+        } else if over {
             task.stage = Stage::Over;
         }
-        let goes_on = task.stage == Stage::Offered;
         if task.stage == Stage::Over && !task.attempts.iter().any(|a| a.open) {
             return;
         }
-        if goes_on {
-            task.stage = Stage::Held;
-        }
         let spent = task.attempts.len() >= self.settings.max_attempts as usize;
         let hopeless = spent || outcome == Outcome::NotSent || !self.may_send_again(&task);
         self.tasks.insert(request, task);
@@ -882,7 +734,7 @@
         let Some(m) = self.machines.get_mut(&machine) else {
             return;
         };
-        m.add_own(now, ask, -1.0);
+        m.add_own(now, ask, -1.0, self.settings.ask_every);
         m.refused = None;
         m.starting.remove(&ask.request);
         m.unanswered.remove(&ask.request);
@@ -954,10 +806,8 @@
             Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
             Repeat::Keyed { .. } | Repeat::Unsafe => !may_have_run,
         };
-        self.out.push(match harmless {
-            true => Action::Refuse { request, retry_after: None },
-            false => Action::Fail(request),
-        });
+        let refusal = Action::Refuse { request, retry_after: None };
+        self.out.push(if harmless { refusal } else { Action::Fail(request) });
         self.close(request);
     }
 
@@ -1030,22 +880,7 @@
         let wake = ends.chain(retry).chain(self.watch_at).min();
         if let Some(at) = wake.map(|at| at.max(self.now + 1)).filter(|at| *at < self.wake) {
             self.wake = at;
-            self.room_news |= retry.is_some();
             self.out.push(Action::SetTimer { label: 0, at });
         }
     }
 }
-
-/// Keeps those that pass, unless none does.
-fn narrow(set: &mut Vec<&Machine>, passes: impl Fn(&Machine) -> bool) {
-    if set.iter().any(|m| passes(m)) {
-        set.retain(|m| passes(m));
-    }
-}
-
-/// A fixed mixing of an id's bits (the finish of splitmix64), equal at every scheduler.
-fn scatter(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,7 +8,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub u64);
     };
 }
@@ -265,18 +265,19 @@
 }
 
 /// What the list says of a machine's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MachineState {
     /// Takes tasks.
     Ready,
     /// Takes nothing new.
     Draining,
-    /// Left the cluster.
+    /// Left the cluster, or never listed.
+    #[default]
     Gone,
 }
 
 /// One line of the machine list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct MachineLine {
     /// The machine.
     pub machine: MachineId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! peppercove decides which machine of a cluster each long-lived task is offered to.
 //!
 //! A [`Scheduler`] is one scheduler's whole decision: it is fed [`Event`]s (tasks to place, answers of
-//! machines, changes of the machine list, timers) with the time they happened, and returns [`Action`]s. It does
-//! no input or output of its own, reads no clock, and shares nothing with other schedulers.
+//! machines, changes of the machine list, timers) with the time they happened, and returns [`Action`]s. It
+//! does no input or output of its own, reads no clock, and shares nothing with other schedulers.
 //!
 //! ```
 //! use peppercove::{Action, Event, ListScope, MachineLine, MachineId, MachineState, Request, RequestId};
@@ -26,7 +26,12 @@
 
 mod choice;
 mod interface;
+mod state;
 pub mod wire;
 
 pub use choice::Scheduler;
 pub use interface::*;
+
+#[doc = include_str!("../README.md")]
+#[cfg(doctest)]
+struct ReadmeExamples;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,103 @@
+//! The types that the decision module keeps its state in, and plain helpers. No decision lives here.
+
+use crate::interface::*;
+use std::collections::VecDeque;
+
+/// One offer of a task to a machine.
+pub(crate) struct Attempt {
+    pub(crate) machine: MachineId,
+    pub(crate) rack: u16,
+    pub(crate) zone: u8,
+    pub(crate) sent_at: Micros,
+    pub(crate) estimate: f64,
+    pub(crate) warm: bool,
+    pub(crate) open: bool,
+    pub(crate) starting: bool,
+    pub(crate) may_have_run: bool,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Held,
+    Offered,
+    Placed,
+    Over,
+}
+
+/// A request and its attempts.
+pub(crate) struct Task {
+    pub(crate) ask: Request,
+    pub(crate) arrived: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) stage: Stage,
+    pub(crate) attempts: Vec<Attempt>,
+}
+
+/// One entry of the table.
+#[derive(Default)]
+pub(crate) struct Machine {
+    pub(crate) listed: bool,
+    pub(crate) line: MachineLine,
+    pub(crate) cores: f64,
+    pub(crate) memory: f64,
+    pub(crate) own: [f64; 2],
+    pub(crate) history: VecDeque<(Micros, [f64; 2])>,
+    pub(crate) others: Option<[f64; 2]>,
+    pub(crate) excess: [f64; 2],
+    pub(crate) refused: Option<[f64; 2]>,
+    pub(crate) refused_until: Micros,
+    pub(crate) rests_until: Micros,
+    pub(crate) offer_line: f64,
+    pub(crate) starting: Table<RequestId, (Micros, f64)>,
+    pub(crate) unanswered: Table<RequestId, Micros>,
+    pub(crate) heard_at: Micros,
+    pub(crate) suspect: bool,
+    pub(crate) trial_at: Micros,
+    pub(crate) trial_wait: Micros,
+    pub(crate) pace: f64,
+    pub(crate) offers: VecDeque<Micros>,
+    pub(crate) programs: Table<ServiceId, (u32, Micros)>,
+}
+
+impl Machine {
+    pub(crate) fn new(machine: MachineId) -> Machine {
+        let line = MachineLine { machine, ..MachineLine::default() };
+        Machine { line, pace: 1.0, offer_line: f64::INFINITY, ..Machine::default() }
+    }
+
+    pub(crate) fn asked(&self, others: [f64; 2]) -> [f64; 2] {
+        let others = self.others.unwrap_or(others);
+        [self.own[0] + others[0], self.own[1] + others[1]]
+    }
+
+    /// Adds or takes off a task of this scheduler's own; what was before `keep` ago is forgotten.
+    pub(crate) fn add_own(&mut self, now: Micros, ask: &Request, sign: f64, keep: Micros) {
+        self.history.retain(|(at, _)| at + keep > now);
+        self.history.push_back((now, self.own));
+        self.own[0] = (self.own[0] + sign * ask.cores).max(0.0);
+        self.own[1] = (self.own[1] + sign * ask.memory).max(0.0);
+    }
+
+    pub(crate) fn own_at(&self, then: Micros) -> [f64; 2] {
+        self.history.iter().find(|(at, _)| *at > then).map_or(self.own, |(_, own)| *own)
+    }
+
+    pub(crate) fn holds_program(&self, service: ServiceId) -> bool {
+        self.programs.contains_key(&service)
+    }
+}
+
+/// Keeps those that pass, unless none does.
+pub(crate) fn narrow(set: &mut Vec<&Machine>, passes: impl Fn(&Machine) -> bool) {
+    if set.iter().any(|m| passes(m)) {
+        set.retain(|m| passes(m));
+    }
+}
+
+/// A fixed mixing of an id's bits (the finish of splitmix64), equal at every scheduler.
+pub(crate) fn scatter(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/tests/placing.rs
@@ -0,0 +1,308 @@
+//! The module alone: the draw, the lists, and one small test for each failure found.
+
+use peppercove::*;
+use std::collections::BTreeMap;
+
+const SECOND: Micros = 1_000_000;
+
+fn line(machine: u64, rack: u16) -> MachineLine {
+    MachineLine {
+        machine: MachineId(machine),
+        state: MachineState::Ready,
+        kind: 0,
+        rack,
+        zone: 0,
+        started_at: 0,
+        free_cores: Some(16.0),
+        free_memory: Some(32.0),
+    }
+}
+
+fn list(scope: ListScope, version: u64, lines: Vec<MachineLine>) -> Event {
+    Event::MachineList { scope, version, lines }
+}
+
+fn ask(request: u64, class: u16, service: u64) -> Request {
+    Request {
+        request: RequestId(request),
+        task: TaskKey(request),
+        service: ServiceId(service),
+        class,
+        tenant: 0,
+        cores: 1.0,
+        memory: 2.0,
+        deadline_in: 5 * SECOND,
+        life_hint: None,
+        again: false,
+    }
+}
+
+fn ended(request: u64, attempt: u16, machine: u64, outcome: Outcome, why: Why) -> Event {
+    let (request, machine) = (RequestId(request), MachineId(machine));
+    Event::Ended { request, attempt, machine, outcome, why, over: false, load: None }
+}
+
+fn binds(actions: &[Action]) -> Vec<(u64, u64)> {
+    let bind = |a: &Action| match a {
+        Action::Bind { request, machine, .. } => Some((request.0, machine.0)),
+        _ => None,
+    };
+    actions.iter().filter_map(bind).collect()
+}
+
+/// A scheduler that has a full list of `n` machines, one a rack.
+fn with_machines(settings: Settings, n: u64) -> Scheduler {
+    let mut scheduler = Scheduler::new(settings, 11);
+    let lines = (0..n).map(|m| line(m, m as u16)).collect();
+    scheduler.handle(SECOND, &[list(ListScope::Full, 1, lines)]);
+    scheduler
+}
+
+/// Where single tasks of fresh services go, with nothing left behind between them.
+fn spread_of_draws(kinds: Vec<Kind>, lines: Vec<MachineLine>, rounds: u64) -> BTreeMap<u64, u64> {
+    let mut counts = BTreeMap::new();
+    for seed in 0..rounds {
+        let settings = Settings { kinds: kinds.clone(), schedulers: 1, ..Settings::sample() };
+        let mut scheduler = Scheduler::new(settings, seed);
+        let events = [list(ListScope::Full, 1, lines.clone()), Event::Place(ask(1, 0, seed))];
+        let bound = binds(&scheduler.handle(SECOND, &events));
+        *counts.entry(bound[0].1).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_draw_goes_by_cores_among_equals() {
+    let kinds = vec![Kind { cores: 16.0, memory: 32.0 }, Kind { cores: 48.0, memory: 96.0 }];
+    let large = MachineLine { kind: 1, free_cores: Some(48.0), free_memory: Some(96.0), ..line(2, 2) };
+    let counts = spread_of_draws(kinds, vec![line(1, 1), large], 2_000);
+    let share = counts[&2] as f64 / 2_000.0;
+    assert!((0.70..0.80).contains(&share), "three quarters of the cores drew {share}");
+}
+
+#[test]
+fn machines_above_the_mean_are_not_drawn() {
+    let settings = Settings { schedulers: 2, ..Settings::sample() };
+    for seed in 0..200 {
+        let mut scheduler = Scheduler::new(settings.clone(), seed);
+        let full = MachineLine { free_cores: Some(4.0), free_memory: Some(8.0), ..line(3, 3) };
+        let lines = vec![line(1, 1), line(2, 2), full];
+        let bound = binds(
+            &scheduler.handle(SECOND, &[list(ListScope::Full, 1, lines), Event::Place(ask(1, 0, seed))]),
+        );
+        assert_ne!(bound[0].1, 3);
+    }
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_actions() {
+    let run = || {
+        let mut scheduler = with_machines(Settings::sample(), 6);
+        let mut all = Vec::new();
+        for i in 0..50 {
+            all.extend(scheduler.handle(SECOND + i * 10_000, &[Event::Place(ask(i, (i % 3) as u16, i % 5))]));
+        }
+        all
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn a_list_must_be_asked_for_and_is_asked_again_after_a_failure() {
+    let mut scheduler = Scheduler::new(Settings::sample(), 1);
+    let first = scheduler.handle(SECOND, &[list(ListScope::Cached, 0, vec![line(1, 1)])]);
+    assert!(first.contains(&Action::Watch));
+    let failed = scheduler.handle(2 * SECOND, &[list(ListScope::Failed, 0, vec![])]);
+    let [Action::SetTimer { label, at }] = failed[..] else { panic!("a timer alone, not {failed:?}") };
+    assert!(at > 2 * SECOND);
+    assert_eq!(scheduler.handle(at, &[Event::Timer(label)]), [Action::Watch]);
+}
+
+#[test]
+fn a_machine_missing_from_a_full_list_or_draining_gets_nothing_from_then_on() {
+    let mut scheduler = with_machines(Settings::sample(), 3);
+    let draining = MachineLine { state: MachineState::Draining, ..line(1, 1) };
+    scheduler.handle(2 * SECOND, &[list(ListScope::Full, 2, vec![line(0, 0), draining])]);
+    for i in 0..20 {
+        let bound = binds(&scheduler.handle(2 * SECOND + i, &[Event::Place(ask(i, 0, i))]));
+        assert!(bound.iter().all(|(_, machine)| *machine == 0));
+    }
+    // A list older than the one held changes nothing.
+    scheduler.handle(3 * SECOND, &[list(ListScope::Full, 1, vec![line(1, 1), line(2, 2)])]);
+    let bound = binds(&scheduler.handle(3 * SECOND, &[Event::Place(ask(99, 2, 9))]));
+    assert!(bound.iter().all(|(_, machine)| *machine == 0));
+}
+
+#[test]
+fn without_machines_a_task_is_held_and_refused_in_time() {
+    let mut scheduler = Scheduler::new(Settings::sample(), 1);
+    let mut actions = scheduler.handle(SECOND, &[Event::Place(ask(1, 2, 1))]);
+    assert!(binds(&actions).is_empty());
+    let mut answered_at = None;
+    for _ in 0..100 {
+        let wake = |a: &Action| matches!(a, Action::SetTimer { .. }).then_some(a.clone());
+        let Some(Action::SetTimer { label, at }) = actions.iter().find_map(wake) else { break };
+        actions = scheduler.handle(at, &[Event::Timer(label)]);
+        if actions.iter().any(|a| matches!(a, Action::Refuse { .. })) {
+            answered_at = Some(at);
+        }
+    }
+    let answered_at = answered_at.expect("an answer");
+    assert!((5 * SECOND..6 * SECOND).contains(&answered_at), "{answered_at}");
+}
+
+#[test]
+fn a_held_task_takes_room_as_it_appears_and_the_worthiest_goes_first() {
+    let mut settings = Settings { schedulers: 1, ..Settings::sample() };
+    settings.classes[2].worth = 9.0;
+    let mut scheduler = with_machines(settings, 1);
+    let whole = Request { cores: 16.0, memory: 32.0, ..ask(1, 0, 1) };
+    assert_eq!(binds(&scheduler.handle(SECOND, &[Event::Place(whole.clone())])), [(1, 0)]);
+    let low = Request { request: RequestId(2), ..whole.clone() };
+    let high = Request { request: RequestId(3), class: 2, ..whole };
+    let held = scheduler.handle(SECOND, &[Event::Place(low), Event::Place(high)]);
+    assert!(binds(&held).is_empty());
+    let freed = scheduler.handle(2 * SECOND, &[ended(1, 0, 0, Outcome::Refused, Why::Busy)]);
+    let later = scheduler.handle(3 * SECOND, &[Event::Timer(0)]);
+    let order: Vec<u64> = [freed, later]
+        .concat()
+        .iter()
+        .filter_map(|a| binds(std::slice::from_ref(a)).pop())
+        .map(|b| b.0)
+        .collect();
+    assert_eq!(order[0], 3);
+}
+
+#[test]
+fn an_answer_of_no_cores_fills_the_entry_so_that_what_is_held_does_not_follow() {
+    // Found on santander-main: thousands of offers turned away by one machine that the table took for empty.
+    let mut scheduler = with_machines(Settings::sample(), 1);
+    scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]);
+    let after = scheduler.handle(SECOND + 1_000, &[ended(1, 0, 0, Outcome::Refused, Why::NoCores)]);
+    assert!(binds(&after).is_empty(), "the same task again: {after:?}");
+    let more: Vec<Event> = (2..50).map(|i| Event::Place(ask(i, 0, i))).collect();
+    assert!(binds(&scheduler.handle(SECOND + 2_000, &more)).is_empty());
+}
+
+#[test]
+fn too_many_waiting_offers_shorten_the_line() {
+    let mut scheduler = with_machines(Settings::sample(), 1);
+    let events: Vec<Event> = (0..8).map(|i| Event::Place(ask(i, 0, 1))).collect();
+    assert_eq!(binds(&scheduler.handle(SECOND, &events)).len(), 8);
+    scheduler.handle(SECOND + 1_000, &[ended(7, 0, 0, Outcome::Refused, Why::Busy)]);
+    let more: Vec<Event> = (20..40).map(|i| Event::Place(ask(i, 0, 1))).collect();
+    assert!(binds(&scheduler.handle(2 * SECOND, &more)).is_empty(), "seven still wait, over half of eight");
+}
+
+#[test]
+fn a_silent_machine_stops_drawing_work_until_it_is_heard() {
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let first = binds(&scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]))[0].1;
+    let silent = scheduler.handle(5 * SECOND, &[ended(1, 0, first, Outcome::TimedOut, Why::Unknown)]);
+    assert!(silent.iter().any(|a| matches!(a, Action::Log(line) if line.contains("answers nothing"))));
+    let unsafe_ones: Vec<Event> = (10..30).map(|i| Event::Place(ask(i, 2, i))).collect();
+    let bound = binds(&scheduler.handle(5 * SECOND, &unsafe_ones));
+    assert!(!bound.is_empty() && bound.iter().all(|(_, machine)| *machine != first));
+    // Past the rest, a single task that may run twice is the trial.
+    let trials: Vec<Event> = (40..60).map(|i| Event::Place(ask(i, 0, 1))).collect();
+    let bound = binds(&scheduler.handle(9 * SECOND, &trials));
+    assert!(bound.iter().filter(|(_, machine)| *machine == first).count() <= 1);
+}
+
+#[test]
+fn a_start_gets_half_of_the_time_left_before_it_is_given_up() {
+    // Found on kigali-templates: starts without the program were cut off at twice the aim and began anew.
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let actions = scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]);
+    let timeout = actions.iter().find_map(|a| match a {
+        Action::Bind { timeout, .. } => *timeout,
+        _ => None,
+    });
+    assert!(timeout.is_some_and(|t| (5 * SECOND / 2..5 * SECOND).contains(&t)), "{timeout:?}");
+}
+
+#[test]
+fn tasks_of_a_service_follow_its_program() {
+    // Found on santander-main: most keyed starts landed where the program was not.
+    let mut scheduler = with_machines(Settings::sample(), 6);
+    let home = binds(&scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]))[0].1;
+    let event = Event::Placed { request: RequestId(1), attempt: 0, machine: MachineId(home) };
+    scheduler.handle(2 * SECOND, &[event]);
+    for i in 2..6 {
+        let now = (i + 1) * SECOND;
+        assert_eq!(binds(&scheduler.handle(now, &[Event::Place(ask(i, 0, 1))])), [(i, home)]);
+        let machine = MachineId(home);
+        scheduler.handle(now + 1, &[Event::Placed { request: RequestId(i), attempt: 0, machine }]);
+    }
+}
+
+#[test]
+fn schedulers_agree_on_where_an_unseen_service_starts() {
+    let lines: Vec<MachineLine> = (0..8).map(|m| line(m, 0)).collect();
+    let place = |seed| {
+        let mut scheduler = Scheduler::new(Settings::sample(), seed);
+        let events = [list(ListScope::Full, 1, lines.clone()), Event::Place(ask(seed, 0, 77))];
+        binds(&scheduler.handle(SECOND, &events))[0].1
+    };
+    assert!((2..20).all(|seed| place(seed) == place(1)), "one machine a rack, whatever the seed");
+}
+
+#[test]
+fn a_task_on_a_machine_never_listed_counts_in_every_rack() {
+    // Found by the property test: its rack was taken for a rack of its own, and the limit was passed.
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let standing = |i| Event::Standing { request: ask(i, 1, 5), machine: MachineId(70) };
+    scheduler.handle(SECOND, &[standing(1), standing(2)]);
+    assert!(binds(&scheduler.handle(SECOND, &[Event::Place(ask(3, 1, 5))])).is_empty());
+}
+
+#[test]
+fn sizes_and_classes_out_of_range_are_refused_without_a_panic() {
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let bad = [
+        Request { cores: f64::NAN, ..ask(1, 0, 1) },
+        Request { memory: -1.0, ..ask(2, 0, 1) },
+        Request { cores: f64::INFINITY, ..ask(3, 0, 1) },
+        ask(4, 99, 1),
+    ];
+    for request in bad {
+        let refusal = Action::Refuse { request: request.request, retry_after: None };
+        assert_eq!(scheduler.handle(SECOND, &[Event::Place(request)]), [refusal]);
+    }
+    let standing = Event::Standing { request: ask(5, 99, 1), machine: MachineId(0) };
+    assert!(scheduler.handle(SECOND, &[standing]).is_empty());
+}
+
+#[test]
+fn late_and_unknown_events_are_borne() {
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let empty = Load::default();
+    let wild = Load { free_cores: Some(f64::NAN), free_memory: Some(-5.0), busy: Some(9.0), waiting: None };
+    let events = [
+        ended(9, 4, 9, Outcome::Done, Why::Unknown),
+        Event::Placed { request: RequestId(9), attempt: 1, machine: MachineId(9) },
+        Event::Unwanted(RequestId(9)),
+        Event::Timer(12),
+        Event::Probed { machine: MachineId(0), answered: true, load: Some(empty) },
+        Event::Probed { machine: MachineId(0), answered: true, load: Some(wild) },
+        Event::Probed { machine: MachineId(9), answered: false, load: None },
+        Event::Peer { from: 7, message: vec![255; 300] },
+        Event::Noted {
+            request: RequestId(9),
+            attempt: 0,
+            machine: MachineId(9),
+            note: Note::Served(f64::NAN),
+        },
+    ];
+    assert!(scheduler.handle(SECOND, &events).is_empty());
+    assert_eq!(binds(&scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))])).len(), 1);
+}
+
+#[test]
+fn a_withdrawn_task_is_not_offered_again_when_its_attempt_fails() {
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    let at = binds(&scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]))[0].1;
+    scheduler.handle(SECOND, &[Event::Unwanted(RequestId(1))]);
+    let after = scheduler.handle(2 * SECOND, &[ended(1, 0, at, Outcome::Refused, Why::Busy)]);
+    assert!(after.is_empty(), "{after:?}");
+}
