--- a/src/choice.rs
+++ b/src/choice.rs
@@ -415,19 +415,15 @@
     }
 
     /// Danger: a service whose program this scheduler has seen nowhere starts on ever new machines, though
-    /// another scheduler's tasks left the program somewhere. Without a known holder the draw keeps to one
-    /// machine a rack, ranked by service and id: all schedulers come to the same ones without a word.
+    /// another scheduler's tasks left the program somewhere. Without a known holder the filter keeps one
+    /// machine, ranked by service and id: all schedulers come to the same one without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
         if set.iter().any(|m| m.holds_program(service)) {
             return;
         }
-        let mut homes: Table<(u8, u16), (u64, MachineId)> = Table::new();
-        for m in set.iter() {
-            let rank = (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
-            let home = homes.entry((m.line.zone, m.line.rack)).or_insert(rank);
-            *home = rank.max(*home);
-        }
-        narrow(set, |m| homes.values().any(|(_, id)| *id == m.line.machine));
+        let rank = |m: &Machine| (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
+        let home = set.iter().map(|m| rank(m)).max();
+        narrow(set, |m| Some(rank(m)) == home);
     }
 
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
