--- a/src/choice.rs
+++ b/src/choice.rs
@@ -415,15 +415,19 @@
     }
 
     /// Danger: a service whose program this scheduler has seen nowhere starts on ever new machines, though
-    /// another scheduler's tasks left the program somewhere. Without a known holder the filter keeps one
-    /// machine, ranked by service and id: all schedulers come to the same one without a word.
+    /// another scheduler's tasks left the program somewhere. Without a known holder the draw keeps to one
+    /// machine a rack, ranked by service and id: all schedulers come to the same ones without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
         if set.iter().any(|m| m.holds_program(service)) {
             return;
         }
-        let rank = |m: &Machine| (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
-        let home = set.iter().map(|m| rank(m)).max();
-        narrow(set, |m| Some(rank(m)) == home);
+        let mut homes: Table<(u8, u16), (u64, MachineId)> = Table::new();
+        for m in set.iter() {
+            let rank = (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
+            let home = homes.entry((m.line.zone, m.line.rack)).or_insert(rank);
+            *home = rank.max(*home);
+        }
+        narrow(set, |m| homes.values().any(|(_, id)| *id == m.line.machine));
     }
 
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
@@ -841,12 +845,14 @@
     /// Danger: each attempt waits out its own patience while its silent machine goes on drawing others.
     fn look_for_silence(&mut self) {
         let least = self.shortest_aim() as f64;
+        let slowest = self.start_times.iter().map(|t| t[1]).fold(least, f64::max);
         let overdue = |m: &Machine| {
             let first = m.unanswered.values().copied().min()?;
             let longest = m.starting.values().map(|(_, estimate)| *estimate).fold(0.0, f64::max);
             let wait = match self.settings.confirms {
                 Confirms::Accepted => least,
-                Confirms::Running => (longest * OVERDUE).max(least),
+                // A program thought to be there may be lost: the start then takes its cold time unannounced.
+                Confirms::Running => longest.max(slowest) * OVERDUE,
             };
             (m.heard_at.max(first) as f64 + wait < self.now as f64).then_some(m.line.machine)
         };
