--- a/src/choice.rs
+++ b/src/choice.rs
@@ -845,14 +845,12 @@
     /// Danger: each attempt waits out its own patience while its silent machine goes on drawing others.
     fn look_for_silence(&mut self) {
         let least = self.shortest_aim() as f64;
-        let slowest = self.start_times.iter().map(|t| t[1]).fold(least, f64::max);
         let overdue = |m: &Machine| {
             let first = m.unanswered.values().copied().min()?;
             let longest = m.starting.values().map(|(_, estimate)| *estimate).fold(0.0, f64::max);
             let wait = match self.settings.confirms {
                 Confirms::Accepted => least,
-                // A program thought to be there may be lost: the start then takes its cold time unannounced.
-                Confirms::Running => longest.max(slowest) * OVERDUE,
+                Confirms::Running => (longest * OVERDUE).max(least),
             };
             (m.heard_at.max(first) as f64 + wait < self.now as f64).then_some(m.line.machine)
         };
