--- a/src/choice.rs
+++ b/src/choice.rs
@@ -221,6 +221,11 @@
         let (now, stage) = (self.now, Stage::Placed);
         let mut task = Task { ask: ask.clone(), arrived: now, deadline: now, stage, attempts: Vec::new() };
         let attempt = self.open_attempt(&task.ask, machine, 0.0, true, false);
+        // Danger: lists and reports count the task already, and as another's. It would stand in the entry
+        // twice, and after a restart the machines would look full.
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.was_own_before(ask);
+        }
         task.attempts.push(attempt);
         self.tasks.insert(ask.request, task);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,6 +79,19 @@
         self.own[1] = (self.own[1] + sign * ask.memory).max(0.0);
     }
 
+    /// A task just added was there before: it moves from the others' asks to the past of own ones.
+    pub(crate) fn was_own_before(&mut self, ask: &Request) {
+        let asks = [ask.cores, ask.memory];
+        for i in 0..2 {
+            for (_, own) in &mut self.history {
+                own[i] += asks[i];
+            }
+            if let Some(others) = &mut self.others {
+                others[i] = (others[i] - asks[i]).max(0.0);
+            }
+        }
+    }
+
     pub(crate) fn own_at(&self, then: Micros) -> [f64; 2] {
         self.history.iter().find(|(at, _)| *at > then).map_or(self.own, |(_, own)| *own)
     }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -306,3 +306,16 @@
     let after = scheduler.handle(2 * SECOND, &[ended(1, 0, at, Outcome::Refused, Why::Busy)]);
     assert!(after.is_empty(), "{after:?}");
 }
+
+#[test]
+fn tasks_handed_over_at_start_are_not_counted_twice() {
+    // Found on ahmedabad-main: the list counted them already, machines looked full and placings waited 2 s.
+    let mut scheduler = Scheduler::new(Settings::sample(), 3);
+    let used = MachineLine { free_cores: Some(4.0), free_memory: Some(8.0), ..line(1, 1) };
+    let standing = |i| Event::Standing { request: ask(i, 0, 1), machine: MachineId(1) };
+    let mut events = vec![list(ListScope::Cached, 1, vec![used])];
+    events.extend((1..=12).map(standing));
+    scheduler.handle(SECOND, &events);
+    let place: Vec<Event> = (20..24).map(|i| Event::Place(ask(i, 0, 1))).collect();
+    assert_eq!(binds(&scheduler.handle(SECOND + 1, &place)).len(), 4, "four of sixteen cores are free");
+}
