--- a/src/choice.rs
+++ b/src/choice.rs
@@ -285,9 +285,10 @@
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
         self.keep_memory_free(&mut set, task, mean_others);
+        self.keep_opened(&mut set, task, mean_others);
         self.keep_home(&mut set, task.ask.service);
         self.keep_timely(&mut set, task);
-        self.keep_cores_calm(&mut set, task, mean_others);
+        narrow(&mut set, |m| self.stays_calm(m, task, mean_others));
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
         let Some(machine) = self.draw(set) else {
@@ -397,10 +398,22 @@
     }
 
     /// Danger: cores busy past the calm share serve everyone worse. Machines below it are preferred.
-    fn keep_cores_calm(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+    fn stays_calm(&self, m: &Machine, task: &Task, mean_others: [f64; 2]) -> bool {
         let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
         let ask = task.ask.cores * self.use_ratio[0];
-        narrow(set, |m| self.expected_use(m, mean_others)[0] + ask <= calm * m.cores);
+        self.expected_use(m, mean_others)[0] + ask <= calm * m.cores
+    }
+
+    /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
+    /// price, as after an enlargement. Machines that hold tasks are preferred while one of them stays calm.
+    fn keep_opened(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+        if self.settings.fleet_price > 0.0 {
+            let least = self.settings.mean_cores / 2.0;
+            let opened = |m: &Machine| m.asked(mean_others)[0] >= least;
+            if set.iter().any(|m| opened(m) && self.stays_calm(m, task, mean_others)) {
+                narrow(set, opened);
+            }
+        }
     }
 
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
