--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,6 +20,8 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
+/// Opened machines are preferred up to this entry; the rest is kept for swings and for machines that leave.
+const OPENED_FILL: f64 = 0.7;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -405,13 +407,13 @@
     }
 
     /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
-    /// price, as after an enlargement. Machines that hold tasks are preferred while one of them stays calm.
+    /// price, as after an enlargement. Machines that hold tasks are preferred while one has room to spare.
     fn keep_opened(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
         if self.settings.fleet_price > 0.0 {
             let least = self.settings.mean_cores / 2.0;
             let opened = |m: &Machine| m.asked(mean_others)[0] >= least;
-            if set.iter().any(|m| opened(m) && self.stays_calm(m, task, mean_others)) {
-                narrow(set, opened);
+            if set.iter().any(|m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL) {
+                narrow(set, |m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL);
             }
         }
     }
