--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,7 +20,8 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
-/// Opened machines are preferred up to this entry; the rest is kept for swings and for machines that leave.
+/// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
+/// machines that leave.
 const OPENED_FILL: f64 = 0.7;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
@@ -287,7 +288,7 @@
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
         self.keep_memory_free(&mut set, task, mean_others);
-        self.keep_opened(&mut set, task, mean_others);
+        self.keep_opened(&mut set, mean_others);
         self.keep_home(&mut set, task.ask.service);
         self.keep_timely(&mut set, task);
         narrow(&mut set, |m| self.stays_calm(m, task, mean_others));
@@ -408,12 +409,12 @@
 
     /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
     /// price, as after an enlargement. Machines that hold tasks are preferred while one has room to spare.
-    fn keep_opened(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
+    fn keep_opened(&self, set: &mut Vec<&Machine>, mean_others: [f64; 2]) {
         if self.settings.fleet_price > 0.0 {
             let least = self.settings.mean_cores / 2.0;
             let opened = |m: &Machine| m.asked(mean_others)[0] >= least;
             if set.iter().any(|m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL) {
-                narrow(set, |m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL);
+                narrow(set, opened);
             }
         }
     }
