--- a/src/choice.rs
+++ b/src/choice.rs
@@ -410,7 +410,9 @@
     /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
     /// price, as after an enlargement. Machines that hold tasks are preferred while one has room to spare.
     fn keep_opened(&self, set: &mut Vec<&Machine>, mean_others: [f64; 2]) {
-        if self.settings.fleet_price > 0.0 {
+        // While machines drain, the tasks that they send away need all the room there is.
+        let draining = self.machines.values().any(|m| m.line.state == MachineState::Draining);
+        if self.settings.fleet_price > 0.0 && !draining {
             let least = self.settings.mean_cores / 2.0;
             let opened = |m: &Machine| m.asked(mean_others)[0] >= least;
             if set.iter().any(|m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL) {
