--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,8 +53,8 @@
         // Before any start is seen: one without the program misses the aim, one with it takes a part of it.
         let start_times = settings.classes.iter().map(|c| [c.aim as f64 * 0.25, c.aim as f64 * 2.0]);
         Scheduler {
-            // Before any use is seen: memory asked is taken for used, since too little of it evicts.
-            use_ratio: [1.0 / settings.accepts_cores.max(1.0), 1.0],
+            // Before any use is seen: a machine full by asks is taken to be full by use.
+            use_ratio: [1.0 / settings.accepts_cores.max(1.0), 1.0 / settings.accepts_memory.max(1.0)],
             start_times: start_times.collect(),
             rng: fastrand::Rng::with_seed(seed),
             settings,
