--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,6 @@
     tasks: Table<RequestId, Task>,
     held: Vec<RequestId>,
     services: Table<ServiceId, Table<MachineId, u32>>,
-    tenant_cores: Table<u32, f64>,
     use_ratio: [f64; 2],
     start_times: Vec<[f64; 2]>,
     room_news: bool,
@@ -68,7 +67,6 @@
             tasks: Table::new(),
             held: Vec::new(),
             services: Table::new(),
-            tenant_cores: Table::new(),
             room_news: false,
             next_try: 0,
             wake: Micros::MAX,
@@ -212,13 +210,9 @@
         let stage = Stage::Held;
         let task = Task { ask: ask.clone(), arrived: self.now, deadline, stage, attempts: Vec::new() };
         self.tasks.insert(ask.request, task);
-        self.hold(ask.request);
-    }
-
-    /// Every task passes here on its way to a machine, so that no later one of less worth goes before it.
-    fn hold(&mut self, request: RequestId) {
-        self.held.push(request);
-        self.room_news = true;
+        if !self.try_place(ask.request) {
+            self.held.push(ask.request);
+        }
     }
 
     fn on_standing(&mut self, ask: &Request, machine: MachineId) {
@@ -249,10 +243,8 @@
             ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
             waiting = ranked.into_iter().map(|(_, r)| r).collect();
             self.room_news = false;
+            self.next_try = self.now + self.shortest_aim() / 32;
             waiting.retain(|&r| !self.try_place(r));
-            if !waiting.is_empty() {
-                self.next_try = self.now + self.shortest_aim() / 32;
-            }
         }
         let margin = self.margin();
         for request in waiting {
@@ -263,24 +255,14 @@
         }
     }
 
-    /// Worth for its room: worth goes with size, so class, timeliness and the tenant's share tell.
+    /// Worth for its room: worth goes with size, so only class and timeliness tell.
     fn value(&self, request: RequestId) -> f64 {
-        let Some(task) = self.tasks.get(&request) else { return 0.0 };
+        let Some(task) = self.tasks.get(&request) else {
+            return 0.0;
+        };
         let class = &self.settings.classes[usize::from(task.ask.class)];
         let timely = self.now < task.arrived + class.aim;
-        let share = if self.is_over_share(&task.ask) { self.settings.over_share_worth } else { 1.0 };
-        share
-            * class.worth
-            * class.start_seconds.max(1.0)
-            * (2.0 + if timely { 1.0 } else { class.late_worth })
-    }
-
-    /// Danger: what a tenant asks past its share is worth little and takes the room of others. Clients come
-    /// to all schedulers alike, so each takes its own tasks for its part of the tenant's.
-    fn is_over_share(&self, ask: &Request) -> bool {
-        let quota = self.settings.tenants.get(ask.tenant as usize).and_then(|t| t.quota_cores);
-        let own = self.tenant_cores.get(&ask.tenant).copied().unwrap_or(0.0);
-        quota.is_some_and(|quota| (own + ask.cores) * f64::from(self.settings.schedulers) > quota)
+        class.worth * class.start_seconds.max(1.0) * (2.0 + if timely { 1.0 } else { class.late_worth })
     }
 
     fn shortest_aim(&self) -> Micros {
@@ -540,7 +522,6 @@
         // A task handed over on a machine that no list has named yet: it is counted, not sent to.
         let m = self.machines.entry(machine).or_insert_with(|| Machine::new(machine));
         m.add_own(now, ask, 1.0, self.settings.ask_every);
-        *self.tenant_cores.entry(ask.tenant).or_insert(0.0) += ask.cores;
         let program = m.programs.entry(ask.service).or_insert((0, now));
         *program = (program.0 + 1, now);
         if starting {
@@ -755,8 +736,8 @@
         self.tasks.insert(request, task);
         if goes_on && hopeless {
             self.answer_no(request);
-        } else if goes_on {
-            self.hold(request);
+        } else if goes_on && !self.try_place(request) {
+            self.held.push(request);
         }
     }
 
@@ -764,7 +745,6 @@
     fn close_attempt(&mut self, ask: &Request, machine: MachineId) {
         self.room_news = true;
         let now = self.now;
-        self.tenant_cores.entry(ask.tenant).and_modify(|cores| *cores = (*cores - ask.cores).max(0.0));
         if let Some(held) = self.services.get_mut(&ask.service) {
             if let Some(n) = held.get_mut(&machine) {
                 *n = n.saturating_sub(1);
@@ -919,8 +899,7 @@
         let margin = self.margin();
         let ends =
             self.held.iter().filter_map(|r| self.tasks.get(r)).map(|t| t.deadline - margin.min(t.deadline));
-        let pause = self.now + self.shortest_aim() / 8;
-        let retry = (!self.held.is_empty()).then_some(if self.room_news { self.next_try } else { pause });
+        let retry = (!self.held.is_empty()).then(|| self.now + self.shortest_aim() / 8);
         let wake = ends.chain(retry).chain(self.watch_at).min();
         if let Some(at) = wake.map(|at| at.max(self.now + 1)).filter(|at| *at < self.wake) {
             self.wake = at;
