--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,8 @@
 /// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
 /// machines that leave.
 const OPENED_FILL: f64 = 0.7;
-/// Chance of a probe of one machine after a bind: a probe costs a fraction of a refused offer.
-const PROBE_CHANCE: f64 = 1.0;
+/// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
+const PROBE_CHANCE: f64 = 0.25;
 
 /// One scheduler's decisions: it is told what happened and answers with what to do.
 pub struct Scheduler {
