A first line of ten offers a machine, grown by placings

Should also hold for mass restarts of services; may hold tasks back where machines examine offers very fast.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,6 +23,8 @@
 /// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
 /// machines that leave.
 const OPENED_FILL: f64 = 0.7;
+/// Offers in line at a machine not yet known: where one takes a tenth of the aim, more would miss it.
+const FIRST_LINE: f64 = 10.0;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -317,7 +319,7 @@
         m.line.state == MachineState::Ready
             && class.kind.is_none_or(|k| k == m.line.kind)
             && self.now >= m.rests_until
-            && (m.unanswered.len() as f64) < m.offer_line.max(1.0)
+            && (m.unanswered.len() as f64) < FIRST_LINE + m.offer_line
             && self.fits(m, &task.ask, mean_others)
             && self.is_trusted(m, class)
             && self.group_allows(m, task, class)
@@ -583,7 +585,7 @@
         self.on_heard(machine);
         if let Some(m) = self.machines.get_mut(&machine) {
             m.unanswered.remove(&request);
-            m.offer_line += 1.0 / m.offer_line.max(1.0);
+            m.offer_line += 1.0 / (FIRST_LINE + m.offer_line).max(1.0);
         }
         if self.settings.confirms == Confirms::Running {
             self.on_runs(request, attempt);
@@ -787,7 +789,7 @@
             Why::NoMemory => 1,
             Why::Busy => {
                 // The line of offers is shorter than thought: half of what waits, then one more a round.
-                m.offer_line = (m.unanswered.len() as f64 / 2.0).max(1.0);
+                m.offer_line = (m.unanswered.len() as f64 / 2.0).max(1.0) - FIRST_LINE;
                 m.rests_until = self.now + pause / 8;
                 return;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,7 +63,7 @@
 impl Machine {
     pub(crate) fn new(machine: MachineId) -> Machine {
         let line = MachineLine { machine, ..MachineLine::default() };
-        Machine { line, pace: 1.0, offer_line: f64::INFINITY, ..Machine::default() }
+        Machine { line, pace: 1.0, ..Machine::default() }
     }
 
     pub(crate) fn asked(&self, others: [f64; 2]) -> [f64; 2] {
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -336,3 +336,17 @@
     let bound = binds(&scheduler.handle(SECOND, &[Event::Place(ask(2, 2, 2))]));
     assert_ne!(bound[0].1, 0);
 }
+
+#[test]
+fn a_batch_of_returning_tasks_does_not_overfill_a_line_of_offers() {
+    // Found in incident idbd046: four machines' tasks came back at once and were turned away by the hundred.
+    let mut scheduler = with_machines(Settings::sample(), 1);
+    let small = |i| Request { cores: 0.1, memory: 0.2, ..ask(i, 0, 1) };
+    let events: Vec<Event> = (0..100).map(|i| Event::Place(small(i))).collect();
+    let first = binds(&scheduler.handle(SECOND, &events)).len();
+    assert!((5..=20).contains(&first), "{first} offers at once to one machine");
+    // Each answer lets the next ones follow.
+    let placed = |i| Event::Placed { request: RequestId(i), attempt: 0, machine: MachineId(0) };
+    let answers: Vec<Event> = (0..first as u64).map(placed).chain([Event::Timer(0)]).collect();
+    assert!(binds(&scheduler.handle(2 * SECOND, &answers)).len() >= first);
+}
