--- a/src/choice.rs
+++ b/src/choice.rs
@@ -541,10 +541,12 @@
     fn patience(&self, task: &Task, estimate: f64) -> Option<Micros> {
         let class = &self.settings.classes[usize::from(task.ask.class)];
         let left = task.deadline.saturating_sub(self.now) as f64;
+        // A further try of a task confined to a rack or zone seldom finds the program there.
+        let confined = matches!(class.repeat, Repeat::Keyed { group: Group::Rack | Group::Zone, .. });
         let wait = match self.settings.confirms {
             Confirms::Accepted => class.aim as f64,
             // A start that is cut off is lost work, so half of what is left is waited at least.
-            Confirms::Running => (estimate * OVERDUE).max(left / 2.0),
+            Confirms::Running => (estimate * OVERDUE).max(left * if confined { 0.75 } else { 0.5 }),
         };
         let retry = self.start_times[usize::from(task.ask.class)][0].max(class.aim as f64 * 0.5);
         let last = task.attempts.len() + 1 >= self.settings.max_attempts as usize;
