--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,6 @@
 /// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
 /// machines that leave.
 const OPENED_FILL: f64 = 0.7;
-/// Share of the time left that a start gets at least: the rest is enough for one more where the program is.
-const START_PATIENCE: f64 = 0.75;
 /// Offers in line at a machine not yet known: where one takes a tenth of the aim, more would miss it.
 const FIRST_LINE: f64 = 10.0;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
@@ -543,10 +541,12 @@
     fn patience(&self, task: &Task, estimate: f64) -> Option<Micros> {
         let class = &self.settings.classes[usize::from(task.ask.class)];
         let left = task.deadline.saturating_sub(self.now) as f64;
+        // A further try of a task confined to a rack or zone seldom finds the program there.
+        let confined = matches!(class.repeat, Repeat::Keyed { group: Group::Rack | Group::Zone, .. });
         let wait = match self.settings.confirms {
             Confirms::Accepted => class.aim as f64,
-            // A start that is cut off is lost work and begins again elsewhere, often without the program.
-            Confirms::Running => (estimate * OVERDUE).max(left * START_PATIENCE),
+            // A start that is cut off is lost work, so half of what is left is waited at least.
+            Confirms::Running => (estimate * OVERDUE).max(left * if confined { 0.75 } else { 0.5 }),
         };
         let retry = self.start_times[usize::from(task.ask.class)][0].max(class.aim as f64 * 0.5);
         let last = task.attempts.len() + 1 >= self.settings.max_attempts as usize;
