--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,7 +15,7 @@
 /// Share of the aim that an expected start may take; the rest covers what the estimate cannot see.
 const AIM_SHARE: f64 = 0.75;
 /// Starts within this factor of the soonest count as equally soon, so that the draw keeps its randomness.
-const NEAR_SOONEST: f64 = 2.0;
+const NEAR_SOONEST: f64 = 1.3;
 /// A start is overdue at this multiple of its estimate: estimates are off by up to about half.
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
