--- a/src/choice.rs
+++ b/src/choice.rs
@@ -460,8 +460,8 @@
         let own = self.start_times[usize::from(ask.class)][cold];
         let left =
             |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(estimate * LEARN);
-        // Machines start a few tasks at a time: about a quarter of what is before this one delays it.
-        let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.25;
+        // Machines start a few tasks at a time: about an eighth of what is before this one delays it.
+        let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.125;
         // A fresh machine warms up from the least share it promises.
         let up = self.now.saturating_sub(m.line.started_at) as f64;
         let part = if self.is_cold(m) { up / self.settings.warm_within.max(1) as f64 } else { 1.0 };
