--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,6 @@
 /// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
 /// machines that leave.
 const OPENED_FILL: f64 = 0.7;
-/// Share of a machine's cores that may start tasks at once; the rest serves.
-const STARTING_SHARE: f64 = 0.2;
 /// Offers in line at a machine not yet known: where one takes a tenth of the aim, more would miss it.
 const FIRST_LINE: f64 = 10.0;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
@@ -462,9 +460,8 @@
         let own = self.start_times[usize::from(ask.class)][cold];
         let left =
             |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(estimate * LEARN);
-        // A start keeps a core busy, and a part of the cores may start at once.
-        let at_once = (m.cores * STARTING_SHARE).max(1.0);
-        let before: f64 = m.starting.values().map(left).sum::<f64>() / at_once;
+        // Machines start a few tasks at a time: about a quarter of what is before this one delays it.
+        let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.25;
         // A fresh machine warms up from the least share it promises.
         let up = self.now.saturating_sub(m.line.started_at) as f64;
         let part = if self.is_cold(m) { up / self.settings.warm_within.max(1) as f64 } else { 1.0 };
