--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,7 +13,7 @@
 /// Weight of a new sample in what is learned: about the last ten samples count.
 const LEARN: f64 = 0.1;
 /// Share of the aim that an expected start may take; the rest covers what the estimate cannot see.
-const AIM_SHARE: f64 = 0.75;
+const AIM_SHARE: f64 = 0.5;
 /// Starts within this factor of the soonest count as equally soon, so that the draw keeps its randomness.
 const NEAR_SOONEST: f64 = 1.3;
 /// A start is overdue at this multiple of its estimate: estimates are off by up to about half.
