News of others' asks overwrites by the others' part among the schedulers

Now the weight is (1 - 1/schedulers) squared. May hurt where one list is wildly wrong: it is believed until the next.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -173,15 +173,18 @@
         machine.line = line.clone();
         if let (Some(free_cores), Some(free_memory)) = (line.free_cores, line.free_memory) {
             let asked = [cores - free_cores, memory - free_memory];
-            Scheduler::learn_others(&self.settings, machine, asked, then, LEARN * 2.0);
+            Scheduler::learn_others(&self.settings, machine, asked, then);
         }
     }
 
     /// Danger: a late report lacks the binds made since and would erase them from the entry. Own asks are
     /// known exactly, so a report only tells what others asked: its total less what was ours at that time.
-    fn learn_others(settings: &Settings, machine: &mut Machine, asked: [f64; 2], then: Micros, weight: f64) {
+    /// When exactly it was made is not told, so own asks at that time are uncertain: the news overwrites by
+    /// the part that others have in it, twice over, since both the old and the new figure hold that error.
+    fn learn_others(settings: &Settings, machine: &mut Machine, asked: [f64; 2], then: Micros) {
         let own = machine.own_at(then);
         let alone = settings.schedulers <= 1;
+        let weight = (1.0 - 1.0 / f64::from(settings.schedulers.max(1))).powi(2);
         for i in 0..2 {
             let seen = if alone || !asked[i].is_finite() { 0.0 } else { (asked[i] - own[i]).max(0.0) };
             let others = machine.others.get_or_insert([f64::NAN; 2]);
@@ -680,7 +683,7 @@
             ReportCounts::Asked => {
                 if let [Some(cores), Some(memory)] = free {
                     let asked = [size[0] - cores, size[1] - memory];
-                    Scheduler::learn_others(&self.settings, m, asked, then, LEARN * 3.0);
+                    Scheduler::learn_others(&self.settings, m, asked, then);
                 }
             }
             ReportCounts::Used => {
