Homes of a service are three ranked machines; opened and calm narrowings taken out

Now the three machines that rank best by a hash of service and id, weighted by cores, that can take the task, and known holders; memory guard within them. It should hold for any program state that a scheduler cannot see; it hurts where a service is larger than its homes bear (then the next ranks follow, as full ones leave the filter).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,7 @@
 //! function of its own below, with the danger it meets. `docs/design.md` tells when each of them acts.
 
 use crate::interface::*;
-use crate::state::{Attempt, Machine, Stage, Task, narrow, scatter};
+use crate::state::{Attempt, Machine, Stage, Task, narrow, scatter, unit};
 
 /// Share of memory filled by choice: the last tenth is left for tasks that grow after they start.
 const MEMORY_FILL: f64 = 0.9;
@@ -20,9 +20,8 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
-/// While an opened machine's entry is below this, empty ones stay closed; the rest is kept for swings and for
-/// machines that leave.
-const OPENED_FILL: f64 = 0.7;
+/// Homes of a service among the machines that can take it: two for the draw to choose from, and one to spare.
+const HOMES: usize = 3;
 /// Offers in line at a machine not yet known: where one takes a tenth of the aim, more would miss it.
 const FIRST_LINE: f64 = 10.0;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
@@ -202,9 +201,7 @@
     // ---- A task comes ----
 
     fn on_place(&mut self, ask: &Request) {
-        let known = usize::from(ask.class) < self.settings.classes.len();
-        let sane = |x: f64| x.is_finite() && x >= 0.0;
-        if !known || !sane(ask.cores) || !sane(ask.memory) {
+        if !self.makes_sense(ask) {
             self.out.push(Action::Refuse { request: ask.request, retry_after: None });
             return;
         }
@@ -220,10 +217,13 @@
         }
     }
 
-    fn on_standing(&mut self, ask: &Request, machine: MachineId) {
+    fn makes_sense(&self, ask: &Request) -> bool {
         let sane = |x: f64| x.is_finite() && x >= 0.0;
-        let known = usize::from(ask.class) < self.settings.classes.len();
-        if !known || self.tasks.contains_key(&ask.request) || !sane(ask.cores) || !sane(ask.memory) {
+        usize::from(ask.class) < self.settings.classes.len() && sane(ask.cores) && sane(ask.memory)
+    }
+
+    fn on_standing(&mut self, ask: &Request, machine: MachineId) {
+        if !self.makes_sense(ask) || self.tasks.contains_key(&ask.request) {
             return;
         }
         let (now, stage) = (self.now, Stage::Placed);
@@ -292,11 +292,9 @@
         let mean_others = self.mean_others();
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
-        self.keep_memory_free(&mut set, task, mean_others);
-        self.keep_opened(&mut set, mean_others);
         self.keep_home(&mut set, task.ask.service);
+        self.keep_memory_free(&mut set, task, mean_others);
         self.keep_timely(&mut set, task);
-        narrow(&mut set, |m| self.stays_calm(m, task, mean_others));
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
         let Some(machine) = self.draw(set) else {
@@ -399,33 +397,12 @@
     }
 
     /// Danger: memory in use at its end evicts tasks, and the asks do not show it. Machines that would keep
-    /// a part of their memory free are preferred before all else.
+    /// a part of their memory free are preferred.
     fn keep_memory_free(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
         let ask = task.ask.memory * self.use_ratio[1];
         narrow(set, |m| self.expected_use(m, mean_others)[1] + ask <= MEMORY_FILL * m.memory);
     }
 
-    /// Danger: cores busy past the calm share serve everyone worse. Machines below it are preferred.
-    fn stays_calm(&self, m: &Machine, task: &Task, mean_others: [f64; 2]) -> bool {
-        let calm = self.settings.classes.iter().map(|c| c.calm).fold(1.0, f64::min);
-        let ask = task.ask.cores * self.use_ratio[0];
-        self.expected_use(m, mean_others)[0] + ask <= calm * m.cores
-    }
-
-    /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
-    /// price, as after an enlargement. Machines that hold tasks are preferred while one has room to spare.
-    fn keep_opened(&self, set: &mut Vec<&Machine>, mean_others: [f64; 2]) {
-        // While machines drain, the tasks that they send away need all the room there is.
-        let draining = self.machines.values().any(|m| m.line.state == MachineState::Draining);
-        if self.settings.fleet_price > 0.0 && !draining {
-            let least = self.settings.mean_cores / 2.0;
-            let opened = |m: &Machine| m.asked(mean_others)[0] >= least;
-            if set.iter().any(|m| opened(m) && self.entry(m, mean_others) <= OPENED_FILL) {
-                narrow(set, opened);
-            }
-        }
-    }
-
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
         let asked = m.asked(mean_others);
         let used = |i: usize| (asked[i] * self.use_ratio[i] + m.excess[i]).max(0.0);
@@ -442,20 +419,16 @@
         narrow(set, |m| self.start_estimate(m, &task.ask) <= limit);
     }
 
-    /// Danger: a service whose program this scheduler has seen nowhere starts on ever new machines, though
-    /// another scheduler's tasks left the program somewhere. Without a known holder the draw keeps to one
-    /// machine a rack, ranked by service and id: all schedulers come to the same ones without a word.
+    /// Danger: with many schedulers nobody sees where the others' tasks left a program, and tasks of its service
+    /// start on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
+    /// larger machines ahead in proportion: all schedulers come to the same ones without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
-        if set.iter().any(|m| m.holds_program(service)) {
-            return;
-        }
-        let mut homes: Table<(u8, u16), (u64, MachineId)> = Table::new();
-        for m in set.iter() {
-            let rank = (scatter(service.0 ^ scatter(m.line.machine.0)), m.line.machine);
-            let home = homes.entry((m.line.zone, m.line.rack)).or_insert(rank);
-            *home = rank.max(*home);
-        }
-        narrow(set, |m| homes.values().any(|(_, id)| *id == m.line.machine));
+        let part = |m: &Machine| unit(scatter(service.0 ^ scatter(m.line.machine.0)));
+        let rank = |m: &Machine| part(m).max(f64::MIN_POSITIVE).ln() / m.cores.max(1e-9);
+        let mut ranked: Vec<(f64, MachineId)> = set.iter().map(|m| (rank(m), m.line.machine)).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        ranked.truncate(HOMES);
+        set.retain(|m| m.holds_program(service) || ranked.iter().any(|(_, id)| *id == m.line.machine));
     }
 
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,3 +114,8 @@
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
+
+/// The bits of a scattered id as a number from 0 up to 1.
+pub(crate) fn unit(x: u64) -> f64 {
+    (x >> 11) as f64 / (1u64 << 53) as f64
+}
