--- a/src/choice.rs
+++ b/src/choice.rs
@@ -419,8 +419,8 @@
         narrow(set, |m| self.start_estimate(m, &task.ask) <= limit);
     }
 
-    /// Danger: with many schedulers nobody sees where the others' tasks left a program, and tasks of its service
-    /// start on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
+    /// Danger: with many schedulers nobody sees where the others left a program, and tasks of its service start
+    /// on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
     /// larger machines ahead in proportion: all schedulers come to the same ones without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
         let part = |m: &Machine| unit(scatter(service.0 ^ scatter(m.line.machine.0)));
