--- a/src/choice.rs
+++ b/src/choice.rs
@@ -375,8 +375,9 @@
         class.spread == Spread::Off || count < class.most
     }
 
-    /// Danger: all schedulers together push a fresh machine over. Each keeps to its share of the offers that
-    /// it always bears, in any window, until it is warm for sure; refused offers count too.
+    /// Danger: all schedulers together push a fresh machine over. The offers that it always bears are split
+    /// among them, in any window, until it is warm for sure; refused offers count too. What does not divide
+    /// goes to the numbers that follow a hash of the machine and its start: each offer has one owner.
     fn cold_allows(&self, m: &Machine) -> bool {
         if !self.is_cold(m) {
             return true;
@@ -386,9 +387,13 @@
         if self.born.is_some_and(|born| self.now < born + window) && m.line.started_at > 0 {
             return false;
         }
-        let share = self.settings.cold_bears / f64::from(self.settings.schedulers.max(1));
+        let all = u64::from(self.settings.schedulers.max(1));
+        let bears = self.settings.cold_bears.max(0.0) as u64;
+        let first = scatter(m.line.machine.0 ^ scatter(m.line.started_at)) % all;
+        let place = (u64::from(self.settings.own_number) + all - first) % all;
+        let share = bears / all + u64::from(place < bears % all);
         let recent = m.offers.iter().filter(|at| **at + window > self.now).count();
-        (recent as f64) + 1.0 <= share
+        (recent as u64) < share
     }
 
     fn is_cold(&self, m: &Machine) -> bool {
@@ -419,7 +424,7 @@
         narrow(set, |m| self.start_estimate(m, &task.ask) <= limit);
     }
 
-    /// Danger: with many schedulers nobody sees where the others left a program, and tasks of its service start
+    /// Danger: with many schedulers nobody sees where the others left a program, and its tasks start
     /// on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
     /// larger machines ahead in proportion: all schedulers come to the same ones without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -253,6 +253,28 @@
     assert_eq!(all.len(), 24, "services have homes of their own");
 }
 
+#[test]
+fn many_schedulers_split_the_offers_that_a_fresh_machine_bears() {
+    // Found in incident i619635: with more schedulers than offers, no fresh machine got work until it was warm.
+    let settings = Settings { schedulers: 50, ..Settings::sample() };
+    let fresh = MachineLine { started_at: 4 * SECOND, ..line(0, 0) };
+    let mut offers = Vec::new();
+    for own_number in 0..50 {
+        let mut scheduler = Scheduler::new(Settings { own_number, ..settings.clone() }, own_number.into());
+        scheduler.handle(SECOND, &[list(ListScope::Full, 1, vec![fresh.clone()])]);
+        for i in 0..100 {
+            let now = 4 * SECOND + i * SECOND / 10;
+            for _ in binds(&scheduler.handle(now, &[Event::Place(ask(i, 0, i))])) {
+                offers.push(now);
+            }
+        }
+    }
+    let most =
+        |from: Micros| offers.iter().filter(|at| (from..from + settings.fall_window).contains(*at)).count();
+    let busiest = offers.iter().map(|at| most(*at)).max();
+    assert_eq!(busiest, Some(settings.cold_bears as usize), "all that it bears, and no more");
+}
+
 #[test]
 fn the_list_overwrites_what_a_hundred_others_asked() {
     // Found at full size on all later deployments: entries followed the list by a fifth and offers were refused.
