--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,8 +22,6 @@
 const PROGRAMS: usize = 6;
 /// Homes of a service among the machines that can take it: two for the draw to choose from, and one to spare.
 const HOMES: usize = 3;
-/// Offers in line at a machine not yet known: where one takes a tenth of the aim, more would miss it.
-const FIRST_LINE: f64 = 10.0;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -208,9 +206,8 @@
         if self.tasks.contains_key(&ask.request) {
             return;
         }
-        let deadline = self.now + ask.deadline_in;
-        let stage = Stage::Held;
-        let task = Task { ask: ask.clone(), arrived: self.now, deadline, stage, attempts: Vec::new() };
+        let deadline = self.now.saturating_add(ask.deadline_in);
+        let task = Task::new(ask, self.now, deadline, Stage::Held);
         self.tasks.insert(ask.request, task);
         if !self.try_place(ask.request) {
             self.held.push(ask.request);
@@ -226,8 +223,7 @@
         if !self.makes_sense(ask) || self.tasks.contains_key(&ask.request) {
             return;
         }
-        let (now, stage) = (self.now, Stage::Placed);
-        let mut task = Task { ask: ask.clone(), arrived: now, deadline: now, stage, attempts: Vec::new() };
+        let mut task = Task::new(ask, self.now, self.now, Stage::Placed);
         let attempt = self.open_attempt(&task.ask, machine, 0.0, true, false);
         // Danger: lists and reports count the task already, and as another's. It would stand in the entry
         // twice, and after a restart the machines would look full.
@@ -266,7 +262,7 @@
             return 0.0;
         };
         let class = &self.settings.classes[usize::from(task.ask.class)];
-        let timely = self.now < task.arrived + class.aim;
+        let timely = self.is_timely(task);
         class.worth * class.start_seconds.max(1.0) * (2.0 + if timely { 1.0 } else { class.late_worth })
     }
 
@@ -286,7 +282,7 @@
         let Some(task) = self.tasks.get(&request) else {
             return true;
         };
-        if task.deadline <= self.now + self.margin() {
+        if task.deadline <= self.now + self.margin() || self.now < task.rests_until {
             return false;
         }
         let mean_others = self.mean_others();
@@ -320,7 +316,6 @@
         m.line.state == MachineState::Ready
             && class.kind.is_none_or(|k| k == m.line.kind)
             && self.now >= m.rests_until
-            && (m.unanswered.len() as f64) < FIRST_LINE + m.offer_line
             && self.fits(m, &task.ask, mean_others)
             && self.is_trusted(m, class)
             && self.group_allows(m, task, class)
@@ -568,7 +563,6 @@
         self.on_heard(machine);
         if let Some(m) = self.machines.get_mut(&machine) {
             m.unanswered.remove(&request);
-            m.offer_line += 1.0 / (FIRST_LINE + m.offer_line).max(1.0);
         }
         if self.settings.confirms == Confirms::Running {
             self.on_runs(request, attempt);
@@ -707,6 +701,9 @@
             Outcome::Lost if why == Why::Evicted => self.on_evicted(at),
             _ => {}
         }
+        if outcome == Outcome::Refused {
+            task.rests_until = self.rest_after_refusal(&task);
+        }
         let goes_on = !over && task.stage == Stage::Offered;
         if goes_on {
             task.stage = Stage::Held;
@@ -771,8 +768,6 @@
             Why::NoCores => 0,
             Why::NoMemory => 1,
             Why::Busy => {
-                // The line of offers is shorter than thought: half of what waits, then one more a round.
-                m.offer_line = (m.unanswered.len() as f64 / 2.0).max(1.0) - FIRST_LINE;
                 m.rests_until = self.now + pause / 8;
                 return;
             }
@@ -791,6 +786,23 @@
         m.refused_until = self.now + pause;
     }
 
+    /// Danger: where room is short, all schedulers follow the same late news, and the few attempts of a
+    /// task are turned away within moments, each at its price. Past the aim no hurry pays for them: those
+    /// left are spread over the time left, so that each meets other news.
+    fn rest_after_refusal(&self, task: &Task) -> Micros {
+        let attempts = u64::from(self.settings.max_attempts).saturating_sub(task.attempts.len() as u64);
+        if self.is_timely(task) {
+            return 0;
+        }
+        self.now + task.deadline.saturating_sub(self.now) / (attempts + 1)
+    }
+
+    /// A start now would still earn its full worth; a task that came again has lost it.
+    fn is_timely(&self, task: &Task) -> bool {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        !task.ask.again && self.now < task.arrived + class.aim
+    }
+
     fn may_send_again(&self, task: &Task) -> bool {
         let class = &self.settings.classes[usize::from(task.ask.class)];
         let Some(first) = task.attempts.iter().find(|a| a.may_have_run) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,10 +30,17 @@
     pub(crate) ask: Request,
     pub(crate) arrived: Micros,
     pub(crate) deadline: Micros,
+    pub(crate) rests_until: Micros,
     pub(crate) stage: Stage,
     pub(crate) attempts: Vec<Attempt>,
 }
 
+impl Task {
+    pub(crate) fn new(ask: &Request, arrived: Micros, deadline: Micros, stage: Stage) -> Task {
+        Task { ask: ask.clone(), arrived, deadline, rests_until: 0, stage, attempts: Vec::new() }
+    }
+}
+
 /// One entry of the table.
 #[derive(Default)]
 pub(crate) struct Machine {
@@ -48,7 +55,6 @@
     pub(crate) refused: Option<[f64; 2]>,
     pub(crate) refused_until: Micros,
     pub(crate) rests_until: Micros,
-    pub(crate) offer_line: f64,
     pub(crate) starting: Table<RequestId, (Micros, f64)>,
     pub(crate) unanswered: Table<RequestId, Micros>,
     pub(crate) heard_at: Micros,
