Homes a class learned from timely starts, with stand-ins for homes short of memory

Now each class starts with two homes, more while starts there are in time, fewer where late (unless starts at known holders are late too). May hurt where lateness has another cause that known holders escape.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,8 +20,11 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
-/// Homes of a service among the machines that can take it: two for the draw to choose from, and one to spare.
-const HOMES: usize = 3;
+/// Homes of a service before any start is seen: the fewest that leave the draw a choice.
+const HOMES: f64 = 2.0;
+/// Share of the starts at homes wanted in time: more homes spread a service until about one start in five
+/// finds no program there; fewer would crowd it for little.
+const HOMES_TIMELY: f64 = 0.8;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -40,6 +43,7 @@
     services: Table<ServiceId, Table<MachineId, u32>>,
     use_ratio: [f64; 2],
     start_times: Vec<[f64; 2]>,
+    homes: Vec<f64>,
     room_news: bool,
     next_try: Micros,
     wake: Micros,
@@ -55,6 +59,7 @@
             // Before any use is seen: a machine full by asks is taken to be full by use.
             use_ratio: [1.0 / settings.accepts_cores.max(1.0), 1.0 / settings.accepts_memory.max(1.0)],
             start_times: start_times.collect(),
+            homes: vec![HOMES; settings.classes.len()],
             rng: fastrand::Rng::with_seed(seed),
             settings,
             now: 0,
@@ -288,8 +293,8 @@
         let mean_others = self.mean_others();
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
-        self.keep_home(&mut set, task.ask.service);
-        self.keep_memory_free(&mut set, task, mean_others);
+        self.keep_home(&mut set, &task.ask, mean_others);
+        narrow(&mut set, |m| self.keeps_memory_free(m, &task.ask, mean_others));
         self.keep_timely(&mut set, task);
         let set: Vec<(MachineId, f64, f64)> =
             set.iter().map(|m| (m.line.machine, m.cores, self.entry(m, mean_others))).collect();
@@ -398,9 +403,9 @@
 
     /// Danger: memory in use at its end evicts tasks, and the asks do not show it. Machines that would keep
     /// a part of their memory free are preferred.
-    fn keep_memory_free(&self, set: &mut Vec<&Machine>, task: &Task, mean_others: [f64; 2]) {
-        let ask = task.ask.memory * self.use_ratio[1];
-        narrow(set, |m| self.expected_use(m, mean_others)[1] + ask <= MEMORY_FILL * m.memory);
+    fn keeps_memory_free(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
+        let memory = self.expected_use(m, mean_others)[1] + ask.memory * self.use_ratio[1];
+        memory <= MEMORY_FILL * m.memory
     }
 
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
@@ -422,13 +427,18 @@
     /// Danger: with many schedulers nobody sees where the others left a program, and its tasks start
     /// on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
     /// larger machines ahead in proportion: all schedulers come to the same ones without a word.
-    fn keep_home(&self, set: &mut Vec<&Machine>, service: ServiceId) {
-        let part = |m: &Machine| unit(scatter(service.0 ^ scatter(m.line.machine.0)));
+    fn keep_home(&self, set: &mut Vec<&Machine>, ask: &Request, mean_others: [f64; 2]) {
+        let part = |m: &Machine| unit(scatter(ask.service.0 ^ scatter(m.line.machine.0)));
         let rank = |m: &Machine| part(m).max(f64::MIN_POSITIVE).ln() / m.cores.max(1e-9);
-        let mut ranked: Vec<(f64, MachineId)> = set.iter().map(|m| (rank(m), m.line.machine)).collect();
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        ranked.truncate(HOMES);
-        set.retain(|m| m.holds_program(service) || ranked.iter().any(|(_, id)| *id == m.line.machine));
+        let mut ranked: Vec<(f64, &Machine)> = set.iter().map(|m| (rank(m), *m)).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.line.machine.cmp(&b.1.line.machine)));
+        // As many again stand in for homes that run short of memory.
+        let homes = self.homes[usize::from(ask.class)].round() as usize;
+        let mut ranked: Vec<&Machine> = ranked.into_iter().take(homes * 2).map(|(_, m)| m).collect();
+        narrow(&mut ranked, |m| self.keeps_memory_free(m, ask, mean_others));
+        ranked.truncate(homes);
+        let home = |m: &Machine| ranked.iter().any(|h| h.line.machine == m.line.machine);
+        set.retain(|m| m.holds_program(ask.service) || home(m));
     }
 
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
@@ -582,7 +592,15 @@
         };
         a.starting = false;
         let took = (self.now - a.sent_at) as f64;
-        let time = &mut self.start_times[usize::from(task.ask.class)][usize::from(!a.warm)];
+        let class = usize::from(task.ask.class);
+        let aim = self.settings.classes[class].aim as f64;
+        if !a.warm && self.start_times[class][0] < aim {
+            // How many tasks a service has is not told: homes that are often late are too many for it.
+            let timely = if took <= aim { 1.0 } else { 0.0 };
+            let homes = self.homes[class] * (1.0 + (timely - HOMES_TIMELY) * 0.5);
+            self.homes[class] = homes.clamp(1.0, self.machines.len().max(1) as f64);
+        }
+        let time = &mut self.start_times[class][usize::from(!a.warm)];
         *time += LEARN * (took.min(*time * 4.0) - *time);
         if let Some(m) = self.machines.get_mut(&a.machine) {
             m.starting.remove(&request);
@@ -631,16 +649,6 @@
         }
     }
 
-    /// An eviction tells that memory was all in use: what was asked then is as much as it bears.
-    fn on_evicted(&mut self, machine: MachineId) {
-        let mean = self.mean_others();
-        let Some(m) = self.machines.get(&machine) else { return };
-        let (size, asked) = (m.memory, m.asked(mean)[1]);
-        if asked > 0.0 && size / asked > self.use_ratio[1] {
-            self.learn_use(1, size, asked, LEARN);
-        }
-    }
-
     fn on_load(&mut self, machine: MachineId, load: &Load) {
         self.room_news = true;
         let mean = self.mean_others();
@@ -698,7 +706,6 @@
         match outcome {
             Outcome::Refused => self.on_refused(at, &task.ask, why),
             Outcome::TimedOut | Outcome::Unreachable => self.on_silent(at, sent_at),
-            Outcome::Lost if why == Why::Evicted => self.on_evicted(at),
             _ => {}
         }
         if outcome == Outcome::Refused {
