A class leaves headroom to those that push it out

Now a class leaves free a part of each machine that follows the share of its tasks pushed out lately, up to half. It should hold against anything that makes room by preemption; it hurts for a while after a burst has passed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,9 @@
 /// Share of the starts at homes wanted in time: more homes spread a service until about one start in five
 /// finds no program there; fewer would crowd it for little.
 const HOMES_TIMELY: f64 = 0.8;
+/// Part of a machine that a class leaves to higher priorities when all of its tasks are pushed out: half, so
+/// that it still finds room on machines that the others use little.
+const HEADROOM_MOST: f64 = 0.5;
 /// Chance of a probe after a bind, and machines probed then: the least the update condition needs.
 const PROBE_CHANCE: f64 = 0.25;
 
@@ -45,6 +48,7 @@
     use_ratio: [f64; 2],
     start_times: Vec<[f64; 2]>,
     homes: Vec<f64>,
+    headroom: Vec<f64>,
     room_news: bool,
     next_try: Micros,
     wake: Micros,
@@ -61,6 +65,7 @@
             use_ratio: [1.0 / settings.accepts_cores.max(1.0), 1.0 / settings.accepts_memory.max(1.0)],
             start_times: start_times.collect(),
             homes: vec![HOMES; settings.classes.len()],
+            headroom: vec![0.0; settings.classes.len()],
             rng: fastrand::Rng::with_seed(seed),
             settings,
             now: 0,
@@ -326,11 +331,12 @@
 
     fn fits(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
         let asked = m.asked(mean_others);
+        let open = 1.0 - self.headroom[usize::from(ask.class)];
         let refused = m.refused.filter(|_| self.now < m.refused_until);
         let refused = refused.is_some_and(|r| ask.cores >= r[0] && ask.memory >= r[1]);
         !refused
-            && asked[0] + ask.cores <= self.settings.accepts_cores * m.cores
-            && asked[1] + ask.memory <= self.settings.accepts_memory * m.memory
+            && asked[0] + ask.cores <= open * self.settings.accepts_cores * m.cores
+            && asked[1] + ask.memory <= open * self.settings.accepts_memory * m.memory
     }
 
     /// Danger: a machine that answers nothing, or fails one tenant's tasks of one class, keeps an inviting
@@ -692,6 +698,9 @@
         a.may_have_run = !matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
         let at = a.machine;
         self.close_attempt(&task.ask, at);
+        if outcome == Outcome::Done || why == Why::PushedOut {
+            self.learn_headroom(task.ask.class, why == Why::PushedOut);
+        }
         match outcome {
             Outcome::Refused => self.on_refused(at, &task.ask, why),
             Outcome::TimedOut | Outcome::Unreachable if self.is_unheard(at, sent_at) => self.on_silent(at),
@@ -723,6 +732,15 @@
         }
     }
 
+    /// Danger: a task that takes the last room of a machine is pushed out moments later by one of a higher
+    /// priority, which is priced and starts it anew. A class leaves a part of each machine free that follows
+    /// the share of its tasks pushed out lately.
+    fn learn_headroom(&mut self, class: u16, pushed_out: bool) {
+        let wanted = if pushed_out { HEADROOM_MOST } else { 0.0 };
+        let headroom = &mut self.headroom[usize::from(class)];
+        *headroom += LEARN * (wanted - *headroom);
+    }
+
     /// Own tasks that end or are lost leave the entry; the program stays a while.
     fn close_attempt(&mut self, ask: &Request, machine: MachineId) {
         self.room_news = true;
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -310,6 +310,28 @@
     }
 }
 
+#[test]
+fn a_class_that_is_pushed_out_leaves_room_to_higher_ones() {
+    // Found on ahmedabad-main-later: three in four tasks of the lowest class were pushed out within moments.
+    let place = |pushed_out: bool| {
+        let mut scheduler = with_machines(Settings { preempts: true, ..Settings::sample() }, 1);
+        for i in 0..20 {
+            let now = (2 + i) * SECOND;
+            scheduler.handle(now, &[Event::Place(ask(i, 0, 1))]);
+            let (request, machine) = (RequestId(i), MachineId(0));
+            let (outcome, why) =
+                if pushed_out { (Outcome::Lost, Why::PushedOut) } else { (Outcome::Done, Why::Unknown) };
+            let end = Event::Ended { request, attempt: 0, machine, outcome, why, over: true, load: None };
+            scheduler.handle(now + 1, &[Event::Placed { request, attempt: 0, machine }, end]);
+        }
+        let wide = |i, class| Event::Place(Request { cores: 12.0, memory: 8.0, ..ask(i, class, 1) });
+        let low = binds(&scheduler.handle(50 * SECOND, &[wide(90, 0)])).len();
+        (low, binds(&scheduler.handle(60 * SECOND, &[Event::Unwanted(RequestId(90)), wide(91, 2)])).len())
+    };
+    assert_eq!(place(false).0, 1, "twelve of sixteen cores are free");
+    assert_eq!(place(true), (0, 1), "they are left to the class that pushes out");
+}
+
 #[test]
 fn homes_that_are_late_become_fewer_and_timely_ones_more() {
     // Found on kigali-templates-later: services of three tasks started cold on three homes, larger ones crowded.
