A full line of offers rests its machine by the guard of silence and failed parts

The rest doubles and a success halves it, as for other failures; it should meet machines that hang or examine slowly. It may hurt in a single burst, for two aims.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -344,7 +344,8 @@
     /// run twice.
     fn is_rested(&self, m: &Machine, ask: &Request, class: &Class) -> bool {
         let allows = |part: Part, may: bool| m.rests.get(&part).is_none_or(|r| may && self.now >= r.until);
-        allows(Part::Silent, class.repeat == Repeat::Safe) && allows(Part::of(ask), true)
+        allows(Part::Silent, class.repeat == Repeat::Safe)
+            && [Part::Line, Part::of(ask)].into_iter().all(|part| allows(part, true))
     }
 
     /// Danger: a keyed task that may have run starts a second time on machines that do not know its key.
@@ -492,7 +493,7 @@
             let window = self.settings.fall_window * 2;
             m.offers.retain(|at| at + window > self.now);
             m.offers.push_back(self.now);
-            let tried = [Part::Silent, part].into_iter().filter(|p| m.rests.contains_key(p));
+            let tried = [Part::Silent, Part::Line, part].into_iter().filter(|p| m.rests.contains_key(p));
             for part in tried.collect::<Vec<Part>>() {
                 self.rest(machine, part);
             }
@@ -580,16 +581,15 @@
             return;
         };
         task.stage = Stage::Placed;
-        let (part, first) = (Part::of(&task.ask), self.first_rest());
-        if let Some(m) = self.machines.get_mut(&machine)
-            && let Some(rest) = m.rests.get_mut(&part)
-        {
-            // The trial itself had doubled it: a success halves it and lets the next one follow.
-            (rest.until, rest.wait) = (self.now, rest.wait / 4);
-            if rest.wait < first {
-                m.rests.remove(&part);
+        let (parts, first) = ([Part::Line, Part::of(&task.ask)], self.first_rest());
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        for part in parts {
+            if let Some(rest) = m.rests.get_mut(&part) {
+                // The trial itself had doubled it: a success halves it and lets the next one follow.
+                (rest.until, rest.wait) = (self.now, rest.wait / 4);
             }
         }
+        m.rests.retain(|part, rest| !parts.contains(part) || rest.wait >= first);
     }
 
     /// A start is over: what it took teaches the estimates of its class.
@@ -764,8 +764,9 @@
         let short = match why {
             Why::NoCores => 0,
             Why::NoMemory => 1,
+            // Its line of offers stays full while it looks at them slowly or not at all.
             Why::Busy => {
-                m.rests_until = self.now + pause / 8;
+                self.rest(machine, Part::Line);
                 return;
             }
             // Draining before the list says so.
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,8 @@
 pub(crate) enum Part {
     /// All of it: nothing is answered.
     Silent,
+    /// All of it: too many offers wait.
+    Line,
     /// One tenant's tasks of one class.
     Asks(u16, u32),
 }
