--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,9 @@
 const OVERDUE: f64 = 2.0;
 /// Ended programs remembered a machine; machines keep a handful.
 const PROGRAMS: usize = 6;
+/// Empty machines stay closed while the mean entry of opened ones is below this; the rest is for swings and
+/// for machines that leave.
+const OPENED_FILL: f64 = 0.7;
 /// Homes of a service before any start is seen: the fewest that leave the draw a choice.
 const HOMES: f64 = 2.0;
 /// Share of the starts at homes wanted in time: more homes spread a service until about one start in five
@@ -296,6 +299,7 @@
         let mean_others = self.mean_others();
         let mut set: Vec<&Machine> =
             self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
+        self.keep_opened(&mut set, mean_others);
         self.keep_home(&mut set, &task.ask, mean_others);
         narrow(&mut set, |m| self.keeps_memory_free(m, &task.ask, mean_others));
         self.keep_timely(&mut set, task);
@@ -321,7 +325,6 @@
         let class = &self.settings.classes[usize::from(task.ask.class)];
         m.line.state == MachineState::Ready
             && class.kind.is_none_or(|k| k == m.line.kind)
-            && self.now >= m.rests_until
             && self.fits(m, &task.ask, mean_others)
             && self.is_rested(m, &task.ask, class)
             && self.group_allows(m, task, class)
@@ -409,6 +412,20 @@
         memory <= MEMORY_FILL * m.memory
     }
 
+    /// Danger: an empty machine is always the emptiest and draws; each one opened beyond the needed has its
+    /// price. Machines that hold tasks are preferred while their mean leaves room to spare, unless a machine
+    /// drains: the tasks that it sends away need all the room there is.
+    fn keep_opened(&self, set: &mut Vec<&Machine>, mean_others: [f64; 2]) {
+        let opened = |m: &Machine| m.asked(mean_others)[0] >= self.settings.mean_cores / 2.0;
+        let entries: Vec<f64> =
+            set.iter().filter(|m| opened(m)).map(|m| self.entry(m, mean_others)).collect();
+        let spare = entries.iter().sum::<f64>() <= OPENED_FILL * entries.len() as f64;
+        let draining = self.machines.values().any(|m| m.line.state == MachineState::Draining);
+        if self.settings.fleet_price > 0.0 && !draining && spare {
+            narrow(set, opened);
+        }
+    }
+
     fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
         let asked = m.asked(mean_others);
         let used = |i: usize| (asked[i] * self.use_ratio[i] + m.excess[i]).max(0.0);
@@ -764,21 +781,10 @@
         let short = match why {
             Why::NoCores => 0,
             Why::NoMemory => 1,
-            // Its line of offers stays full while it looks at them slowly or not at all.
-            Why::Busy => {
-                self.rest(machine, Part::Line);
-                return;
-            }
-            // Draining before the list says so.
-            Why::NotHere => {
-                m.rests_until = self.now + pause * 2;
-                return;
-            }
+            // It looks at offers too slowly, or drains before the list says so.
+            Why::Busy | Why::NotHere => return self.rest(machine, Part::Line),
             // Turned away for no reason that the table could show: only the like of it rests.
-            _ => {
-                self.rest(machine, Part::of(ask));
-                return;
-            }
+            _ => return self.rest(machine, Part::of(ask)),
         };
         // Less than this task's ask was free: what own tasks do not explain, others asked.
         let others = m.others.get_or_insert([0.0; 2]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,7 +45,7 @@
 pub(crate) enum Part {
     /// All of it: nothing is answered.
     Silent,
-    /// All of it: too many offers wait.
+    /// All of it: too many offers wait, or it takes none.
     Line,
     /// One tenant's tasks of one class.
     Asks(u16, u32),
@@ -77,7 +77,6 @@
     pub(crate) excess: [f64; 2],
     pub(crate) refused: Option<[f64; 2]>,
     pub(crate) refused_until: Micros,
-    pub(crate) rests_until: Micros,
     pub(crate) starting: Table<RequestId, (Micros, f64)>,
     pub(crate) unanswered: Table<RequestId, Micros>,
     pub(crate) heard_at: Micros,
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -357,6 +357,23 @@
     assert_eq!(place(true), (0, 1), "they are left to the class that pushes out");
 }
 
+#[test]
+fn empty_machines_stay_closed_while_an_opened_one_has_room() {
+    // Found in incident i5f5374: after an enlargement every new machine drew tasks and had its price.
+    let settings = Settings { fleet_price: 0.1, ..Settings::sample() };
+    let mut scheduler = Scheduler::new(settings, 3);
+    let opened = MachineLine { free_cores: Some(10.0), free_memory: Some(20.0), ..line(0, 0) };
+    let mut lines = vec![opened.clone()];
+    lines.extend((1..6).map(|m| line(m, m as u16)));
+    scheduler.handle(SECOND, &[list(ListScope::Full, 1, lines.clone())]);
+    assert_eq!(binds(&scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))])), [(1, 0)]);
+    // While a machine drains, all of them are open.
+    lines.push(MachineLine { state: MachineState::Draining, ..line(9, 9) });
+    scheduler.handle(SECOND, &[list(ListScope::Full, 2, lines)]);
+    let bound = binds(&scheduler.handle(SECOND, &[Event::Place(ask(2, 2, 2))]));
+    assert_ne!(bound[0].1, 0);
+}
+
 #[test]
 fn homes_that_are_late_become_fewer_and_timely_ones_more() {
     // Found on kigali-templates-later: services of three tasks started cold on three homes, larger ones crowded.
