A list that may be older than a machine's own report or refusal does not erase it

It holds for any list that runs behind; it may hurt where much changes on a machine within the guess of the list's lateness.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -183,7 +183,9 @@
             machine.excess = [0.0; 2];
         }
         machine.line = line.clone();
-        if let (Some(free_cores), Some(free_memory)) = (line.free_cores, line.free_memory) {
+        // Danger: a list that runs behind would erase what the machine itself told since.
+        let news = then >= machine.told_at;
+        if let (Some(free_cores), Some(free_memory), true) = (line.free_cores, line.free_memory, news) {
             let asked = [cores - free_cores, memory - free_memory];
             Scheduler::learn_others(&self.settings, machine, asked, then);
         }
@@ -640,7 +642,6 @@
             Note::Runs => self.on_runs(request, attempt),
             Note::CoresUsed(x) => self.learn_use(0, x, ask[0], LEARN / 4.0),
             Note::MemoryUsed(x) => self.learn_use(1, x, ask[1], LEARN / 4.0),
-            // What is crowded shows in the use already.
             Note::Served(_) | Note::MachineMemory(_) => {}
         }
     }
@@ -678,6 +679,7 @@
                 if let [Some(cores), Some(memory)] = free {
                     let asked = [size[0] - cores, size[1] - memory];
                     Scheduler::learn_others(&self.settings, m, asked, then);
+                    m.told_at = then;
                 }
             }
             ReportCounts::Used => {
@@ -715,12 +717,13 @@
         a.may_have_run = !matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
         let at = a.machine;
         self.close_attempt(&task.ask, at);
+        let unheard = self.machines.get(&at).is_none_or(|m| m.heard_at <= sent_at);
         if outcome == Outcome::Done || why == Why::PushedOut {
             self.learn_headroom(task.ask.class, why == Why::PushedOut);
         }
         match outcome {
             Outcome::Refused => self.on_refused(at, &task.ask, why),
-            Outcome::TimedOut | Outcome::Unreachable if self.is_unheard(at, sent_at) => self.on_silent(at),
+            Outcome::TimedOut | Outcome::Unreachable if unheard => self.on_silent(at),
             // It answers others, or answers this with an error: the danger lies in what was asked.
             Outcome::TimedOut | Outcome::Error | Outcome::Lost if task.stage == Stage::Offered => {
                 self.rest(at, Part::of(&task.ask));
@@ -786,13 +789,13 @@
             // Turned away for no reason that the table could show: only the like of it rests.
             _ => return self.rest(machine, Part::of(ask)),
         };
-        // Less than this task's ask was free: what own tasks do not explain, others asked.
+        // Less than this task's ask was free, half of it in the mean: the rest others asked.
         let others = m.others.get_or_insert([0.0; 2]);
-        others[short] = others[short].max(accepts[short] * size[short] - asks[short] - m.own[short]);
+        others[short] = others[short].max(accepts[short] * size[short] - asks[short] / 2.0 - m.own[short]);
         let mut refused = [0.0; 2];
         refused[short] = asks[short];
         m.refused = Some(refused);
-        m.refused_until = self.now + pause;
+        (m.refused_until, m.told_at) = (self.now + pause, self.now);
     }
 
     /// Danger: where room is short, all schedulers follow the same late news, and the few attempts of a
@@ -847,10 +850,6 @@
 
     // ---- Silence ----
 
-    fn is_unheard(&self, machine: MachineId, since: Micros) -> bool {
-        self.machines.get(&machine).is_none_or(|m| m.heard_at <= since)
-    }
-
     fn on_silent(&mut self, machine: MachineId) {
         if self.machines.get(&machine).is_some_and(|m| !m.rests.contains_key(&Part::Silent)) {
             self.rest(machine, Part::Silent);
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,7 @@
     pub(crate) starting: Table<RequestId, (Micros, f64)>,
     pub(crate) unanswered: Table<RequestId, Micros>,
     pub(crate) heard_at: Micros,
+    pub(crate) told_at: Micros,
     pub(crate) rests: Table<Part, Rest>,
     pub(crate) offers: VecDeque<Micros>,
     pub(crate) programs: Table<ServiceId, (u32, Micros)>,
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -374,6 +374,21 @@
     assert_ne!(bound[0].1, 0);
 }
 
+#[test]
+fn a_list_that_runs_behind_does_not_erase_what_a_machine_told() {
+    // Found by hunt --scale (h587993, list behind): machines that had just refused were offered to again.
+    let mut scheduler = with_machines(Settings { schedulers: 100, ..Settings::sample() }, 1);
+    scheduler.handle(SECOND, &[Event::Place(ask(1, 0, 1))]);
+    let refused = ended(1, 0, 0, Outcome::Refused, Why::NoMemory);
+    scheduler.handle(SECOND + 1_000, &[refused]);
+    let bound = |scheduler: &mut Scheduler, version: u64, now: Micros| {
+        let events = [list(ListScope::Delta, version, vec![line(0, 0)]), Event::Place(ask(version, 0, 1))];
+        binds(&scheduler.handle(now, &events)).iter().any(|b| b.0 == version)
+    };
+    assert!(!bound(&mut scheduler, 20, 3 * SECOND), "the list may be older than the refusal");
+    assert!(bound(&mut scheduler, 21, 9 * SECOND), "a later list is believed");
+}
+
 #[test]
 fn homes_that_are_late_become_fewer_and_timely_ones_more() {
     // Found on kigali-templates-later: services of three tasks started cold on three homes, larger ones crowded.
