--- a/src/choice.rs
+++ b/src/choice.rs
@@ -464,15 +464,14 @@
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
         let cold = usize::from(!m.holds_program(ask.service));
         let own = self.start_times[usize::from(ask.class)][cold];
-        let left =
-            |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(estimate * LEARN);
+        let left = |(sent, estimate): &(Micros, f64)| (estimate - (self.now - sent) as f64).max(0.0);
         // Machines start a few tasks at a time: about a quarter of what is before this one delays it.
         let before: f64 = m.starting.values().map(left).sum::<f64>() * 0.25;
         // A fresh machine warms up from the least share it promises.
         let up = self.now.saturating_sub(m.line.started_at) as f64;
         let part = if self.is_cold(m) { up / self.settings.warm_within.max(1) as f64 } else { 1.0 };
         let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * part.min(1.0);
-        (own + before) / warmth.max(LEARN)
+        (own + before) / warmth.max(f64::MIN_POSITIVE)
     }
 
     /// The entry: the larger share of cores or memory, as asked of what it accepts or as used of what it has.
@@ -640,8 +639,8 @@
         let ask = [task.ask.cores, task.ask.memory];
         match note {
             Note::Runs => self.on_runs(request, attempt),
-            Note::CoresUsed(x) => self.learn_use(0, x, ask[0], LEARN / 4.0),
-            Note::MemoryUsed(x) => self.learn_use(1, x, ask[1], LEARN / 4.0),
+            Note::CoresUsed(x) => self.learn_use(0, x, ask[0], LEARN),
+            Note::MemoryUsed(x) => self.learn_use(1, x, ask[1], LEARN),
             Note::Served(_) | Note::MachineMemory(_) => {}
         }
     }
@@ -661,7 +660,7 @@
         let (asked, size) = (m.asked(mean), [m.cores, m.memory]);
         for i in 0..2 {
             if let Some(share) = busy[i].filter(|b| b.is_finite()) {
-                m.excess[i] += LEARN * 3.0 * (share * size[i] - asked[i] * ratio[i] - m.excess[i]);
+                m.excess[i] += LEARN * (share * size[i] - asked[i] * ratio[i] - m.excess[i]);
             }
         }
     }
@@ -691,7 +690,7 @@
         for i in 0..2 {
             // A nearly empty machine says nothing of what tasks use.
             if let Some(share) = busy[i].filter(|_| asked[i] > size[i] * 0.25) {
-                self.learn_use(i, share * size[i], asked[i], LEARN / 4.0);
+                self.learn_use(i, share * size[i], asked[i], LEARN);
             }
         }
         self.learn_excess(machine, busy);
