--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,8 @@
 const MEMORY_FILL: f64 = 0.9;
 /// Weight of a new sample in what is learned: about the last ten samples count.
 const LEARN: f64 = 0.1;
+/// Weight of a sample of use: each task swings for itself, so that about forty count.
+const LEARN_USE: f64 = 0.025;
 /// Share of the aim that an expected start may take; the rest covers what the estimate cannot see.
 const AIM_SHARE: f64 = 0.5;
 /// Starts within this factor of the soonest count as equally soon, so that the draw keeps its randomness.
@@ -639,23 +641,22 @@
         let ask = [task.ask.cores, task.ask.memory];
         match note {
             Note::Runs => self.on_runs(request, attempt),
-            Note::CoresUsed(x) => self.learn_use(0, x, ask[0], LEARN),
-            Note::MemoryUsed(x) => self.learn_use(1, x, ask[1], LEARN),
+            Note::CoresUsed(x) => self.learn_use(0, x, ask[0]),
+            Note::MemoryUsed(x) => self.learn_use(1, x, ask[1]),
             Note::Served(_) | Note::MachineMemory(_) => {}
         }
     }
 
-    fn learn_use(&mut self, i: usize, used: f64, asked: f64, weight: f64) {
+    fn learn_use(&mut self, i: usize, used: f64, asked: f64) {
         if used.is_finite() && asked > 0.0 && used >= 0.0 {
             let ratio = (used / asked).min(2.0);
-            self.use_ratio[i] += weight * (ratio - self.use_ratio[i]);
+            self.use_ratio[i] += LEARN_USE * (ratio - self.use_ratio[i]);
         }
     }
 
     /// What a machine uses beyond what its asks explain: neighbours, hungry services.
     fn learn_excess(&mut self, machine: MachineId, busy: [Option<f64>; 2]) {
-        let mean = self.mean_others();
-        let ratio = self.use_ratio;
+        let (mean, ratio) = (self.mean_others(), self.use_ratio);
         let Some(m) = self.machines.get_mut(&machine) else { return };
         let (asked, size) = (m.asked(mean), [m.cores, m.memory]);
         for i in 0..2 {
@@ -690,7 +691,7 @@
         for i in 0..2 {
             // A nearly empty machine says nothing of what tasks use.
             if let Some(share) = busy[i].filter(|_| asked[i] > size[i] * 0.25) {
-                self.learn_use(i, share * size[i], asked[i], LEARN);
+                self.learn_use(i, share * size[i], asked[i]);
             }
         }
         self.learn_excess(machine, busy);
