--- a/src/choice.rs
+++ b/src/choice.rs
@@ -91,7 +91,7 @@
 
     /// Takes in what happened at `now` and returns what to do about it.
     pub fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
-        self.now = self.now.max(now);
+        self.now = self.now.max(now.min(Micros::MAX / 4));
         if self.born.is_none() {
             self.born = Some(self.now);
             self.watch_at = self.settings.list_on_request.then_some(self.now);
@@ -172,9 +172,10 @@
     }
 
     fn on_line(&mut self, line: &MachineLine) {
+        // Times near the end of their type would overflow in sums.
+        let line = &MachineLine { started_at: line.started_at.min(self.now), ..line.clone() };
         let kind = self.settings.kinds.get(usize::from(line.kind));
-        // A list is late by delays that are not told: a guess from the settings.
-        let then = self.now.saturating_sub(self.settings.ask_every / 4);
+        let then = self.now.saturating_sub(self.settings.ask_every / 4); // A guess of the list's lateness.
         let machine = self.machines.entry(line.machine).or_insert_with(|| Machine::new(line.machine));
         let (cores, memory) = kind.map_or((0.0, 0.0), |k| (k.cores, k.memory));
         (machine.cores, machine.memory, machine.listed) = (cores, memory, true);
@@ -567,8 +568,7 @@
         if self.settings.probes && self.rng.f64() < PROBE_CHANCE {
             let ready = self.ready(|_| true);
             if !ready.is_empty() {
-                let machine = ready[self.rng.usize(0..ready.len())];
-                self.out.push(Action::Probe(machine));
+                self.out.push(Action::Probe(ready[self.rng.usize(0..ready.len())]));
             }
         }
     }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -516,3 +516,19 @@
     let place: Vec<Event> = (20..24).map(|i| Event::Place(ask(i, 0, 1))).collect();
     assert_eq!(binds(&scheduler.handle(SECOND + 1, &place)).len(), 4, "four of sixteen cores are free");
 }
+
+#[test]
+fn times_near_the_end_of_their_type_are_borne() {
+    let mut scheduler = with_machines(Settings::sample(), 2);
+    for (i, now) in [u64::MAX - 10 * SECOND, u64::MAX - 1, u64::MAX].into_iter().enumerate() {
+        let i = 10 * i as u64;
+        let fresh = MachineLine { started_at: u64::MAX, ..line(5, 5) };
+        let wide = Request { deadline_in: u64::MAX, ..ask(i, 0, 1) };
+        let mut events = vec![list(ListScope::Delta, 2 + i, vec![fresh]), Event::Place(wide)];
+        events.extend((1..4).map(|n| Event::Place(ask(i + n, (n % 3) as u16, n))));
+        let bound = binds(&scheduler.handle(now, &events));
+        let end = |b: &(u64, u64)| ended(b.0, 0, b.1, Outcome::TimedOut, Why::Unknown);
+        scheduler.handle(now, &bound.iter().map(end).collect::<Vec<Event>>());
+        scheduler.handle(now, &[list(ListScope::Failed, 0, vec![]), Event::Timer(0)]);
+    }
+}
