--- /dev/null
+++ b/crates/audit/src/rules.rs
@@ -0,0 +1,510 @@
+//! The rules, one after the other, over the events in order of time.
+
+use crate::{Breach, Event, Figures, Micros, Place, Seen, Started, Verdict};
+use peppercove_protocol::list::{FromList, NodeState, Scope};
+use peppercove_protocol::node::{AttemptId, FromNode, Party, Repeat, ToNode, Work};
+use peppercove_protocol::rpc::Outcome;
+use std::collections::BTreeMap;
+
+/// Judges what the taps saw and what the nodes counted.
+pub fn judge(events: &[Event], starts: &[Started], figures: &Figures) -> Verdict {
+    let mut court = Court::new(figures);
+    let mut ordered: Vec<&Event> = events.iter().collect();
+    ordered.sort_by_key(|e| e.at);
+    for event in ordered {
+        court.hear(event.at, &event.seen);
+    }
+    court.judge_starts(starts);
+    court.close();
+    court.verdict.breaches.sort_by_key(|b| (b.at, b.rule));
+    court.verdict
+}
+
+type Name = String;
+
+/// A job as its client knows it.
+struct Job {
+    at: Micros,
+    controller: Name,
+    session: String,
+    deadline: Micros,
+    repeat: Repeat,
+    answered: Option<(Micros, Outcome)>,
+    excused: bool,
+}
+
+/// Where an attempt stands, as the sockets show it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stand {
+    /// Sent, nothing heard.
+    Out,
+    /// Its node says that it runs, or holds it.
+    Runs,
+    /// Proved never to have run.
+    NeverRan,
+    /// Given up or broken off without proof.
+    Unknown,
+    /// Over after it ran.
+    Over,
+}
+
+struct Attempt {
+    controller: Party,
+    id: AttemptId,
+    node: Name,
+    sent: Micros,
+    expires: Micros,
+    work: Work,
+    stand: Stand,
+    /// Its controller was killed then.
+    orphaned: Option<Micros>,
+}
+
+#[derive(Clone, Copy)]
+struct Listed {
+    state: NodeState,
+    told: Micros,
+    rack: u16,
+    zone: u8,
+    life: u64,
+    born: Option<Micros>,
+}
+
+struct Court<'a> {
+    figures: &'a Figures,
+    verdict: Verdict,
+    jobs: BTreeMap<String, Job>,
+    by_key: BTreeMap<(String, String), String>,
+    attempts: Vec<Attempt>,
+    by_id: BTreeMap<(Party, AttemptId, Name), usize>,
+    by_task: BTreeMap<u64, Vec<usize>>,
+    early: BTreeMap<String, Vec<(Micros, String, String, Outcome)>>,
+    lists: BTreeMap<Name, BTreeMap<Name, Listed>>,
+    /// Offers that reached a node while it was cold: by node and life.
+    cold: BTreeMap<(Name, u64), Vec<Micros>>,
+    lives: BTreeMap<(Name, Name), u64>,
+    /// Links that stand: by controller and node.
+    links: BTreeMap<(Name, Name), bool>,
+}
+
+impl<'a> Court<'a> {
+    fn new(figures: &'a Figures) -> Court<'a> {
+        Court {
+            figures,
+            verdict: Verdict::default(),
+            jobs: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            attempts: Vec::new(),
+            by_id: BTreeMap::new(),
+            by_task: BTreeMap::new(),
+            early: BTreeMap::new(),
+            lists: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            links: BTreeMap::new(),
+        }
+    }
+
+    fn breach(&mut self, at: Micros, rule: u8, what: String) {
+        self.verdict.breaches.push(Breach { at, rule, what });
+    }
+
+    fn hear(&mut self, at: Micros, seen: &Seen) {
+        match seen {
+            Seen::ToNode { controller, node, message } => self.to_node(at, controller, node, message),
+            Seen::FromNode { controller, node, message } => self.from_node(controller, node, message),
+            Seen::LinkClosed { controller, node } => {
+                self.links.insert((controller.name.clone(), node.clone()), false);
+                for a in self.attempts.iter_mut().filter(|a| a.controller == *controller && a.node == *node) {
+                    if a.stand == Stand::Out {
+                        a.stand = Stand::Unknown;
+                    }
+                }
+            }
+            Seen::List { controller, news } => self.listed(at, controller, news),
+            Seen::Taken { controller, session, key, job, deadline, repeat } => {
+                // The same key again is the same job, answered once.
+                if !self.jobs.contains_key(job) {
+                    self.verdict.taken += 1;
+                    let job_ = Job {
+                        at,
+                        controller: controller.clone(),
+                        session: session.clone(),
+                        deadline: *deadline,
+                        repeat: *repeat,
+                        answered: None,
+                        excused: false,
+                    };
+                    self.jobs.insert(job.clone(), job_);
+                    self.by_key.insert((session.clone(), key.clone()), job.clone());
+                    for (at, session, key, outcome) in self.early.remove(job).unwrap_or_default() {
+                        self.settled(at, &session, &key, job, outcome);
+                    }
+                }
+            }
+            Seen::Settled { session, key, job, outcome } => self.settled(at, session, key, job, *outcome),
+            Seen::ClientGone { session } => {
+                self.jobs.values_mut().filter(|j| j.session == *session).for_each(|j| j.excused = true);
+            }
+            Seen::TurnedAway { .. } => self.verdict.turned_away += 1,
+            Seen::Killed { controller } => {
+                self.jobs.values_mut().filter(|j| j.controller == *controller).for_each(|j| j.excused = true);
+                for a in self.attempts.iter_mut().filter(|a| a.controller.name == *controller) {
+                    if matches!(a.stand, Stand::Out | Stand::Unknown) && a.orphaned.is_none() {
+                        (a.stand, a.orphaned) = (Stand::Unknown, Some(at));
+                    }
+                }
+                self.lists.remove(controller);
+            }
+        }
+    }
+
+    // ---- Rule 1 ----
+
+    fn settled(&mut self, at: Micros, session: &str, key: &str, job: &str, outcome: Outcome) {
+        let Some(j) = self.jobs.get_mut(job) else {
+            // An answer may overtake the reply that names the job.
+            let answer = (at, session.to_owned(), key.to_owned(), outcome);
+            self.early.entry(job.to_owned()).or_default().push(answer);
+            return;
+        };
+        if let Some((first, was)) = j.answered {
+            let what = format!("job {job} is answered {outcome:?} after {was:?} at {first} us");
+            return self.breach(at, 1, what);
+        }
+        j.answered = Some((at, outcome));
+        let late = at.saturating_sub(j.at) > j.deadline + self.figures.stall;
+        let (deadline, repeat) = (j.deadline, j.repeat);
+        match outcome {
+            Outcome::Placed => self.verdict.placed += 1,
+            Outcome::Refused => self.verdict.refused += 1,
+            Outcome::Failed => self.verdict.failed += 1,
+            Outcome::Withdrawn => self.verdict.withdrawn += 1,
+        }
+        if late {
+            self.breach(at, 1, format!("job {job} is answered later than its {deadline} us"));
+        }
+        if outcome == Outcome::Refused {
+            self.refused(at, session, key, job, repeat);
+        }
+    }
+
+    fn close(&mut self) {
+        let open: Vec<(Micros, String)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.answered.is_none() && !j.excused)
+            .map(|(name, j)| (j.at + j.deadline, name.clone()))
+            .collect();
+        self.verdict.excused =
+            self.jobs.values().filter(|j| j.answered.is_none() && j.excused).count() as u64;
+        for (job, answers) in std::mem::take(&mut self.early) {
+            for (at, ..) in answers {
+                self.breach(at, 1, format!("an answer for job {job}, which nobody took in"));
+            }
+        }
+        for (at, job) in open {
+            self.breach(at, 1, format!("job {job} is never answered"));
+        }
+    }
+
+    /// Nothing is offered for a job that has its answer.
+    fn offered_after_answer(&mut self, at: Micros, work: &Work) {
+        let Some((session, key)) = work.program.key.split_once('\n') else { return };
+        let job = self.by_key.get(&(session.to_owned(), key.to_owned()));
+        if let Some((name, (when, outcome))) = job.and_then(|n| Some((n, self.jobs.get(n)?.answered?))) {
+            let what = format!("job {name} is offered again after its answer {outcome:?} at {when} us");
+            self.breach(at, 1, what);
+        }
+    }
+
+    // ---- Rule 2 ----
+
+    fn refused(&mut self, at: Micros, session: &str, key: &str, job: &str, repeat: Repeat) {
+        if repeat == Repeat::Safe {
+            return;
+        }
+        let named = format!("{session}\n{key}");
+        let doubtful = self.attempts.iter().filter(|a| a.work.program.key == named).any(|a| {
+            let group = self.figures.classes.get(usize::from(a.work.class)).map(|c| c.group);
+            let harmless = a.work.repeat == Repeat::Keyed && group == Some(Place::Off);
+            a.stand != Stand::NeverRan && !harmless
+        });
+        if doubtful {
+            self.breach(at, 2, format!("job {job} is refused though an attempt of it may have run"));
+        }
+    }
+
+    fn offered(
+        &mut self, at: Micros, controller: &Party, node: &str, id: AttemptId, expires_in: Micros, work: &Work,
+    ) {
+        self.verdict.offers += 1;
+        self.offered_after_answer(at, work);
+        let stall = self.figures.stall;
+        for &i in self.by_task.get(&work.task).into_iter().flatten() {
+            let a = &mut self.attempts[i];
+            if a.stand == Stand::Out && a.expires <= at + stall {
+                a.stand = Stand::Unknown;
+            }
+        }
+        let earlier: Vec<usize> = self.by_task.get(&work.task).cloned().unwrap_or_default();
+        let mut found = Vec::new();
+        for &i in &earlier {
+            let a = &self.attempts[i];
+            let same_ask = a.controller == *controller && a.id.request == id.request;
+            let settled = a.orphaned.is_some_and(|t| t + self.figures.settle <= at + stall);
+            match (work.repeat, a.stand) {
+                (_, Stand::Out) => found.push(format!("task {:x} has two attempts out", work.task)),
+                (Repeat::Unsafe | Repeat::Keyed, Stand::Runs) => {
+                    found.push(format!("task {:x} is offered again while it runs on {}", work.task, a.node));
+                }
+                (Repeat::Unsafe, Stand::Unknown) if !settled => {
+                    found
+                        .push(format!("unsafe task {:x} is offered again though it may have run", work.task));
+                }
+                (Repeat::Keyed, Stand::Unknown) if same_ask => {
+                    found.extend(self.keyed_again(at, controller, node, work, a));
+                }
+                _ => {}
+            }
+        }
+        for what in found {
+            self.breach(at, 2, what);
+        }
+        self.drained(at, controller, node);
+        self.crowded(at, controller, node, work);
+        self.pushed(at, controller, node);
+        let index = self.attempts.len();
+        self.by_id.insert((controller.clone(), id, node.to_owned()), index);
+        self.by_task.entry(work.task).or_default().push(index);
+        self.attempts.push(Attempt {
+            controller: controller.clone(),
+            id,
+            node: node.to_owned(),
+            sent: at,
+            expires: at + expires_in,
+            work: work.clone(),
+            stand: Stand::Out,
+            orphaned: None,
+        });
+    }
+
+    fn keyed_again(
+        &self, at: Micros, controller: &Party, node: &str, work: &Work, first: &Attempt,
+    ) -> Option<String> {
+        let class = self.figures.classes.get(usize::from(work.class))?;
+        if at > first.sent + class.window + self.figures.stall {
+            return Some(format!("keyed task {:x} is offered again past its window", work.task));
+        }
+        let list = self.lists.get(&controller.name)?;
+        let (here, there) = (list.get(node)?, list.get(&first.node)?);
+        let same = match class.group {
+            Place::Off => true,
+            Place::Zone => here.zone == there.zone,
+            Place::Rack => (here.zone, here.rack) == (there.zone, there.rack),
+            Place::Node => node == first.node,
+        };
+        (!same).then(|| format!("keyed task {:x} is offered again outside its group", work.task))
+    }
+
+    fn to_node(&mut self, at: Micros, controller: &Party, node: &str, message: &ToNode) {
+        match message {
+            ToNode::Offer { attempt, expires_in, work } => {
+                self.offered(at, controller, node, *attempt, *expires_in, work);
+            }
+            ToNode::Withdraw { attempt } => {
+                if let Some(a) = self.attempt(controller, *attempt, node)
+                    && a.stand == Stand::Out
+                {
+                    a.stand = Stand::Unknown;
+                }
+            }
+            ToNode::Adopt { life, attempt, named } => {
+                let old = Party { name: controller.name.clone(), life: *life };
+                let key = (old, *attempt, node.to_owned());
+                if let Some(&i) = self.by_id.get(&key) {
+                    self.by_id.insert((controller.clone(), *named, node.to_owned()), i);
+                    let a = &mut self.attempts[i];
+                    (a.controller, a.id, a.stand) = (controller.clone(), *named, Stand::Runs);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn attempt(&mut self, controller: &Party, id: AttemptId, node: &str) -> Option<&mut Attempt> {
+        let i = *self.by_id.get(&(controller.clone(), id, node.to_owned()))?;
+        self.attempts.get_mut(i)
+    }
+
+    fn from_node(&mut self, controller: &Party, node: &str, message: &FromNode) {
+        let (id, stand) = match message {
+            FromNode::Running { attempt, .. } => (*attempt, Stand::Runs),
+            FromNode::Refused { attempt, .. } => (*attempt, Stand::NeverRan),
+            FromNode::Ended { attempt, .. } => (*attempt, Stand::Over),
+            FromNode::Welcome { node: told, .. } => {
+                let key = (controller.name.clone(), node.to_owned());
+                self.links.insert(key.clone(), true);
+                if self.lives.insert(key, told.life).is_some_and(|was| was != told.life) {
+                    // Another process: what the earlier one ran is over.
+                    for a in self.attempts.iter_mut().filter(|a| a.node == node) {
+                        if a.stand == Stand::Runs {
+                            a.stand = Stand::Over;
+                        }
+                    }
+                }
+                return;
+            }
+            FromNode::Standing { life, attempt, ended, .. } => {
+                let party = Party { name: controller.name.clone(), life: *life };
+                if let Some(a) = self.attempt(&party, *attempt, node)
+                    && a.stand != Stand::Over
+                {
+                    a.stand = if ended.is_some() { Stand::Over } else { Stand::Runs };
+                }
+                return;
+            }
+            _ => return,
+        };
+        if let Some(a) = self.attempt(controller, id, node) {
+            // What is over stays over; a second word on it proves nothing.
+            if !matches!(a.stand, Stand::Over | Stand::NeverRan) {
+                a.stand = stand;
+            }
+        }
+    }
+
+    fn judge_starts(&mut self, starts: &[Started]) {
+        let mut by_task: BTreeMap<u64, Vec<&Started>> = BTreeMap::new();
+        for start in starts.iter().filter(|s| s.repeat != Repeat::Safe) {
+            by_task.entry(start.task).or_default().push(start);
+        }
+        for (task, mut starts) in by_task {
+            starts.sort_by_key(|s| s.at);
+            self.verdict.unsafe_starts += starts.iter().filter(|s| s.repeat == Repeat::Unsafe).count() as u64;
+            for pair in starts.windows(2) {
+                let (first, second) = (pair[0], pair[1]);
+                let together = first.ended.is_none_or(|e| e > second.at);
+                let what = match first.repeat {
+                    Repeat::Unsafe if together || first.completed => "unsafe",
+                    Repeat::Keyed if together && first.rack == second.rack => "keyed",
+                    _ => continue,
+                };
+                let what =
+                    format!("{what} task {task:x} starts on {} and again on {}", first.node, second.node);
+                self.breach(second.at, 2, what);
+            }
+        }
+    }
+
+    // ---- Rules 3 and 4 ----
+
+    fn listed(&mut self, at: Micros, controller: &str, news: &FromList) {
+        let FromList::News { scope, lines, .. } = news else { return };
+        let list = self.lists.entry(controller.to_owned()).or_default();
+        if *scope == Scope::Full {
+            for (name, l) in list.iter_mut().filter(|(name, _)| !lines.iter().any(|line| line.name == **name))
+            {
+                if l.state != NodeState::Gone {
+                    (l.state, l.told) = (NodeState::Gone, at);
+                }
+                let _ = name;
+            }
+        }
+        for line in lines {
+            let born = line.age.map(|age| at.saturating_sub(age));
+            let new = Listed {
+                state: line.state,
+                told: at,
+                rack: line.rack,
+                zone: line.zone,
+                life: line.life,
+                born,
+            };
+            match list.get_mut(&line.name) {
+                // The grace runs from the first word of it.
+                Some(old) if old.state == line.state && old.life == line.life => {}
+                Some(old) if old.state != NodeState::Ready && line.state != NodeState::Ready => {
+                    old.state = line.state
+                }
+                _ => {
+                    list.insert(line.name.clone(), new);
+                }
+            }
+        }
+    }
+
+    fn drained(&mut self, at: Micros, controller: &Party, node: &str) {
+        let told = self.lists.get(&controller.name).and_then(|l| l.get(node)).copied();
+        let Some(told) = told.filter(|l| l.state != NodeState::Ready) else { return };
+        if at > told.told + self.figures.drain_grace + self.figures.stall {
+            let late = at - told.told;
+            self.breach(
+                at,
+                3,
+                format!("{} offers to {node} {late} us after it heard {:?}", controller.name, told.state),
+            );
+        }
+    }
+
+    fn pushed(&mut self, at: Micros, controller: &Party, node: &str) {
+        let told = self.lists.get(&controller.name).and_then(|l| l.get(node)).copied();
+        let Some((life, born)) = told.and_then(|l| Some((l.life, l.born?))) else { return };
+        if at >= born + self.figures.warm_within {
+            return;
+        }
+        let window = self.figures.fall_window;
+        let offers = self.cold.entry((node.to_owned(), life)).or_default();
+        offers.push(at);
+        let recent = offers.iter().filter(|t| **t + window > at).count() as u64;
+        if recent > self.figures.cold_bears {
+            let most = self.figures.cold_bears;
+            let what = format!("{recent} offers within {window} us to the cold {node}, which bears {most}");
+            self.breach(at, 4, what);
+        }
+    }
+
+    // ---- Rule 5 ----
+
+    fn crowded(&mut self, at: Micros, controller: &Party, node: &str, work: &Work) {
+        let Some(class) = self.figures.classes.get(usize::from(work.class)) else { return };
+        let list = self.lists.get(&controller.name);
+        let place = |name: &str| -> Option<(u8, u16, String)> {
+            let l = list.and_then(|l| l.get(name))?;
+            match class.spread {
+                Place::Off => None,
+                Place::Node => Some((l.zone, l.rack, name.to_owned())),
+                Place::Rack => Some((l.zone, l.rack, String::new())),
+                Place::Zone => Some((l.zone, 0, String::new())),
+            }
+        };
+        let Some(here) = place(node) else { return };
+        // A node that the list calls gone and whose link has closed holds nothing that the controller could count.
+        let left = |a: &Attempt| {
+            let gone = list.and_then(|l| l.get(&a.node)).is_some_and(|l| l.state == NodeState::Gone);
+            gone && self.links.get(&(controller.name.clone(), a.node.clone())) == Some(&false)
+        };
+        let held = |a: &&Attempt| {
+            !left(a)
+                && a.controller == *controller
+                && a.work.service == work.service
+                && match a.stand {
+                    Stand::Out => a.expires > at,
+                    Stand::Runs => true,
+                    _ => false,
+                }
+        };
+        let count =
+            self.attempts.iter().filter(held).filter(|a| place(&a.node).as_ref() == Some(&here)).count();
+        if count as u32 + 1 > class.most {
+            let what = format!(
+                "{} brings service {:x} to {} in one place, {} at most",
+                controller.name,
+                work.service,
+                count + 1,
+                class.most
+            );
+            self.breach(at, 5, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,679 @@
+//! The settings of a controller: their table, and the typed result.
+
+use crate::schema::{Attribute, ConfigError, Document, Element, Kind, Often, Problem};
+use peppercove::{
+    Class, Confirms, Group, Kind as MachineKind, Repeat, ReportCounts, Settings, Spread, Tenant,
+};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const fn attribute(
+    name: &'static str, kind: Kind, default: Option<&'static str>, about: &'static str,
+) -> Attribute {
+    Attribute { name, kind, default, about }
+}
+
+const ANY_COUNT: Kind = Kind::Count(1, 1 << 32);
+const POSITIVE: Kind = Kind::Number(1e-9, f64::MAX);
+const SHARE: Kind = Kind::Number(0.0, 1.0);
+const WEIGHT: Kind = Kind::Number(0.0, f64::MAX);
+
+/// The table of a controller's settings.
+pub static SETTINGS: Element = Element {
+    name: "peppercove",
+    often: Often::Once,
+    about: "Settings of one controller.",
+    attributes: &[],
+    children: &[
+        Element {
+            name: "controller",
+            often: Often::Once,
+            about: "This controller, and how many share the nodes.",
+            attributes: &[
+                attribute("name", Kind::Name, None, "Its name; nodes know its tasks by it after a restart."),
+                attribute(
+                    "number",
+                    Kind::Count(0, 65_535),
+                    Some("0"),
+                    "Its number among those that share the nodes.",
+                ),
+                attribute(
+                    "of",
+                    Kind::Count(1, 65_536),
+                    Some("1"),
+                    "How many share the nodes, this one included.",
+                ),
+                attribute("zone", Kind::Count(0, 255), Some("0"), "Its zone."),
+                attribute(
+                    "seed",
+                    Kind::Count(0, u64::MAX),
+                    Some(""),
+                    "Seed of its draws; a new one at each start where left out.",
+                ),
+                attribute(
+                    "clients",
+                    Kind::Address,
+                    None,
+                    "Where it listens for DRMAA clients; port 0 takes any.",
+                ),
+                attribute(
+                    "stop-within",
+                    Kind::Span,
+                    Some("10s"),
+                    "How long a stop may wait for what is open.",
+                ),
+                attribute(
+                    "record",
+                    Kind::Text,
+                    Some(""),
+                    "File to which all that the core is told is written, for replay.",
+                ),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "node-list",
+            often: Often::Once,
+            about: "Where the list of nodes comes from.",
+            attributes: &[
+                attribute("address", Kind::Address, None, "Where the list listens."),
+                attribute(
+                    "mode",
+                    Kind::Choice(&["on-request", "pushed"]),
+                    Some("on-request"),
+                    "Whether the list must be asked for or comes by itself.",
+                ),
+                attribute(
+                    "ask-every",
+                    Kind::Span,
+                    Some("10s"),
+                    "Without a subscription the list counts as told this long after it was last asked for.",
+                ),
+                attribute("timeout", Kind::Span, Some("2s"), "A call that has no answer by then has failed."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "limits",
+            often: Often::Maybe,
+            about: "What bounds the daemon. Each bound met is counted and answered.",
+            attributes: &[
+                attribute("clients", ANY_COUNT, Some("1024"), "Connections of clients at once."),
+                attribute(
+                    "calls",
+                    ANY_COUNT,
+                    Some("64"),
+                    "Calls of one connection that may wait for their answers.",
+                ),
+                attribute(
+                    "client-queue",
+                    ANY_COUNT,
+                    Some("1024"),
+                    "Lines that may wait to be read by a client; a slower one is closed.",
+                ),
+                attribute(
+                    "client-idle",
+                    Kind::Span,
+                    Some("5m"),
+                    "A line begun and not finished within this closes its connection.",
+                ),
+                attribute(
+                    "node-queue",
+                    ANY_COUNT,
+                    Some("1024"),
+                    "Messages that may wait to be written to a node.",
+                ),
+                attribute(
+                    "open-asks",
+                    ANY_COUNT,
+                    Some("100000"),
+                    "Asks for a placing that may be open at once.",
+                ),
+                attribute(
+                    "jobs",
+                    ANY_COUNT,
+                    Some("200000"),
+                    "Jobs kept, finished ones included; the oldest finished one makes room.",
+                ),
+                attribute("session-jobs", ANY_COUNT, Some("100000"), "Unfinished jobs of one session."),
+                attribute("sessions", ANY_COUNT, Some("10000"), "Sessions known at once."),
+                attribute("bulk", ANY_COUNT, Some("10000"), "Jobs of one bulk submission."),
+                attribute(
+                    "doubtful",
+                    ANY_COUNT,
+                    Some("10000"),
+                    "Unsafe tasks whose fate may be in doubt at once.",
+                ),
+                attribute("retry-after", Kind::Span, Some("1s"), "Advice to a client that met a bound."),
+                attribute(
+                    "answer-reserve",
+                    Kind::Span,
+                    Some("20ms"),
+                    "The answer is given this long before its owner gives up.",
+                ),
+                attribute(
+                    "fate-memory",
+                    Kind::Span,
+                    Some("10m"),
+                    "How long it is remembered that an unsafe task may have run.",
+                ),
+                attribute(
+                    "lost-after",
+                    Kind::Span,
+                    Some("30s"),
+                    "A task on a node out of reach counts as lost after this.",
+                ),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "links",
+            often: Often::Maybe,
+            about: "Links to nodes and to the list.",
+            attributes: &[
+                attribute(
+                    "connect-timeout",
+                    Kind::Span,
+                    Some("1s"),
+                    "A connection or greeting not done by then has failed.",
+                ),
+                attribute(
+                    "retry-least",
+                    Kind::Span,
+                    Some("50ms"),
+                    "First wait before a link is tried again; waits are scattered.",
+                ),
+                attribute("retry-most", Kind::Span, Some("5s"), "Waits double up to this."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "rules",
+            often: Often::Maybe,
+            about: "Figures of the five rules.",
+            attributes: &[
+                attribute(
+                    "drain-grace",
+                    Kind::Span,
+                    Some("500ms"),
+                    "From hearing of a drain to the last offer.",
+                ),
+                attribute(
+                    "cold-from",
+                    SHARE,
+                    Some("0.2"),
+                    "A node that just came up starts tasks at this share of its pace or more.",
+                ),
+                attribute("warm-within", Kind::Span, Some("15s"), "And is warm after this."),
+                attribute(
+                    "fall-multiple",
+                    POSITIVE,
+                    Some("3"),
+                    "Sent more than this multiple of what it can do, it falls over.",
+                ),
+                attribute("fall-window", Kind::Span, Some("2s"), "For this long."),
+                attribute(
+                    "cold-bears",
+                    WEIGHT,
+                    Some("8"),
+                    "Offers within fall-window, from all controllers, that it always bears.",
+                ),
+                attribute(
+                    "settle",
+                    Kind::Span,
+                    Some("3s"),
+                    "How long owners wait before they ask again for a task that may run.",
+                ),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "attempts",
+            often: Often::Maybe,
+            about: "Attempts to place one task.",
+            attributes: &[
+                attribute("most", Kind::Count(1, 1000), Some("3"), "At most so many for one ask."),
+                attribute("may-withdraw", Kind::Flag, Some("true"), "An attempt may be called off."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "nodes",
+            often: Often::Once,
+            about: "What all nodes have in common, and their kinds.",
+            attributes: &[
+                attribute(
+                    "accepts-cores",
+                    POSITIVE,
+                    Some("1"),
+                    "A node accepts tasks up to this multiple of its cores.",
+                ),
+                attribute("accepts-memory", POSITIVE, Some("1"), "And up to this multiple of its memory."),
+                attribute(
+                    "confirms",
+                    Kind::Choice(&["accepted", "running"]),
+                    Some("running"),
+                    "A task is placed once it is accepted, or once it runs.",
+                ),
+                attribute(
+                    "preempts",
+                    Kind::Flag,
+                    Some("false"),
+                    "Nodes push out tasks of lower priority to make room.",
+                ),
+                attribute(
+                    "report-counts",
+                    Kind::Choice(&["asked", "used"]),
+                    Some("asked"),
+                    "What the free values of load reports subtract.",
+                ),
+                attribute("probes", Kind::Flag, Some("false"), "Nodes may be probed."),
+            ],
+            children: &[Element {
+                name: "kind",
+                often: Often::Some,
+                about: "A kind of node; the list names kinds by their place here, from 0.",
+                attributes: &[
+                    attribute("name", Kind::Name, None, "Its name."),
+                    attribute("cores", POSITIVE, None, "Cores of a node."),
+                    attribute("memory", POSITIVE, None, "Its memory."),
+                ],
+                children: &[],
+            }],
+        },
+        Element {
+            name: "classes",
+            often: Often::Once,
+            about: "The classes of tasks: the job categories of DRMAA.",
+            attributes: &[
+                attribute("default", Kind::Name, None, "Category of a job that names none."),
+                attribute("mean-cores", POSITIVE, Some("1"), "Mean cores of a task."),
+                attribute("mean-memory", POSITIVE, Some("2"), "Mean memory of a task."),
+            ],
+            children: &[Element {
+                name: "class",
+                often: Often::Some,
+                about: "One class.",
+                attributes: &[
+                    attribute("name", Kind::Name, None, "Its name."),
+                    attribute("aim", Kind::Span, None, "A first start within this earns its full worth."),
+                    attribute("deadline", Kind::Span, None, "How long an owner waits for a placing."),
+                    attribute(
+                        "repeat",
+                        Kind::Choice(&["safe", "keyed", "unsafe"]),
+                        None,
+                        "What a second start would do.",
+                    ),
+                    attribute(
+                        "group",
+                        Kind::Choice(&["all", "zone", "rack"]),
+                        Some("all"),
+                        "Of a keyed class: the nodes that discard a second copy.",
+                    ),
+                    attribute("window", Kind::Span, Some("5s"), "For this long after the first send."),
+                    attribute(
+                        "worth",
+                        WEIGHT,
+                        Some("1"),
+                        "Worth of a second of full service of a task of mean size.",
+                    ),
+                    attribute("late-worth", SHARE, Some("0.5"), "Share of a start's worth after the aim."),
+                    attribute(
+                        "start-seconds",
+                        WEIGHT,
+                        Some("5"),
+                        "Seconds of service that a timely first start is worth.",
+                    ),
+                    attribute(
+                        "calm",
+                        SHARE,
+                        Some("0.9"),
+                        "Busy share of the cores up to which it is served in full.",
+                    ),
+                    attribute("fade", WEIGHT, Some("0.1"), "Service falls to nothing over this much more."),
+                    attribute(
+                        "priority",
+                        Kind::Count(0, 3),
+                        Some("0"),
+                        "Higher ones win in contention and evictions.",
+                    ),
+                    attribute("kind", Kind::Name, Some(""), "The kind of node that it needs."),
+                    attribute(
+                        "spread",
+                        Kind::Choice(&["off", "node", "rack", "zone"]),
+                        Some("off"),
+                        "The place that its services must not crowd.",
+                    ),
+                    attribute(
+                        "most",
+                        Kind::Count(1, 1 << 31),
+                        Some("1"),
+                        "The most tasks of one service in one such place.",
+                    ),
+                    attribute("cores", POSITIVE, Some("1"), "Cores of a job that asks for none."),
+                    attribute("memory", POSITIVE, Some("1"), "Memory of a job that asks for none."),
+                ],
+                children: &[],
+            }],
+        },
+        Element {
+            name: "tenants",
+            often: Often::Maybe,
+            about: "The tenants that share the nodes.",
+            attributes: &[attribute(
+                "over-share-worth",
+                SHARE,
+                Some("1"),
+                "What a task past its tenant's share is worth.",
+            )],
+            children: &[Element {
+                name: "tenant",
+                often: Often::Any,
+                about: "One tenant.",
+                attributes: &[
+                    attribute("name", Kind::Name, None, "Its name."),
+                    attribute(
+                        "quota-cores",
+                        POSITIVE,
+                        Some(""),
+                        "Cores that its tasks may ask for at a time within its share.",
+                    ),
+                ],
+                children: &[],
+            }],
+        },
+        Element {
+            name: "prices",
+            often: Often::Maybe,
+            about: "Prices that the decision module weighs, as shares of the result.",
+            attributes: &[
+                attribute("fleet", WEIGHT, Some("0"), "Of the nodes in use beyond the needed."),
+                attribute("move", WEIGHT, Some("0"), "Of one move for each task."),
+                attribute("refusal", WEIGHT, Some("0"), "Of one refused offer for each task."),
+                attribute("probe", WEIGHT, Some("0"), "Of one probe for each task."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "logs",
+            often: Often::Maybe,
+            about: "What is logged, to standard error.",
+            attributes: &[
+                attribute(
+                    "format",
+                    Kind::Choice(&["text", "json"]),
+                    Some("text"),
+                    "Lines of text or of JSON.",
+                ),
+                attribute(
+                    "level",
+                    Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+                    Some("info"),
+                    "The least severe that is logged.",
+                ),
+            ],
+            children: &[],
+        },
+    ],
+};
+
+/// Where a controller listens, and whom it asks for the nodes.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// For DRMAA clients.
+    pub clients: SocketAddr,
+    /// The node list.
+    pub node_list: SocketAddr,
+    /// A call to the list that has no answer by then has failed.
+    pub list_timeout: Duration,
+    /// A connection or greeting not done by then has failed.
+    pub connect_timeout: Duration,
+    /// First wait before a link is tried again.
+    pub retry_least: Duration,
+    /// Waits double up to this.
+    pub retry_most: Duration,
+}
+
+/// Bounds of the daemon. The table tells what each one is.
+#[derive(Clone, Debug)]
+#[allow(missing_docs)]
+pub struct Limits {
+    pub clients: usize,
+    pub calls: usize,
+    pub client_queue: usize,
+    pub client_idle: Duration,
+    pub node_queue: usize,
+    pub open_asks: usize,
+    pub jobs: usize,
+    pub session_jobs: usize,
+    pub sessions: usize,
+    pub bulk: usize,
+    pub doubtful: usize,
+    pub retry_after: Duration,
+    pub answer_reserve: Duration,
+    pub fate_memory: Duration,
+    pub lost_after: Duration,
+}
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text.
+    Text,
+    /// JSON.
+    Json,
+}
+
+/// All settings of one controller.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Seed of its draws, where it is fixed.
+    pub seed: Option<u64>,
+    /// How long a stop may wait for what is open.
+    pub stop_within: Duration,
+    /// File for the record of what the core is told.
+    pub record: Option<PathBuf>,
+    /// Sockets.
+    pub listen: Listen,
+    /// Bounds.
+    pub limits: Limits,
+    /// What the decision module is told.
+    pub module: Settings,
+    /// Names of the classes, by index.
+    pub classes: Vec<String>,
+    /// What a job of the class asks for where it does not say: cores and memory.
+    pub class_asks: Vec<(f64, f64)>,
+    /// Index of the class of a job that names none.
+    pub default_class: u16,
+    /// Names of the tenants, by index.
+    pub tenants: Vec<String>,
+    /// Names of the kinds of node, by index.
+    pub kinds: Vec<String>,
+    /// How log lines look.
+    pub log_format: LogFormat,
+    /// The least severe that is logged.
+    pub log_level: String,
+}
+
+/// The settings that the program carries with it: a small cluster on loopback.
+pub fn embedded_default() -> &'static str {
+    include_str!("../default.xml")
+}
+
+impl Config {
+    /// Reads settings from the text of a file.
+    ///
+    /// # Errors
+    /// [`ConfigError`] names line, column, element and what was expected, for every problem found.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let document = Document::parse(text, &SETTINGS)?;
+        let mut problems = Vec::new();
+        let config = read(&document, &mut problems);
+        if problems.is_empty() { Ok(config) } else { Err(ConfigError { problems }) }
+    }
+}
+
+fn names(of: &[Document], problems: &mut Vec<Problem>) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for element in of {
+        let name = element.word("name");
+        if names.iter().any(|n| n == name) {
+            problems.push(element.problem(format!("name=\"{name}\" stands twice")));
+        }
+        names.push(name.into());
+    }
+    names
+}
+
+fn read(d: &Document, problems: &mut Vec<Problem>) -> Config {
+    let (controller, list, limits) = (d.child("controller"), d.child("node-list"), d.child("limits"));
+    let (links, rules, nodes, classes) =
+        (d.child("links"), d.child("rules"), d.child("nodes"), d.child("classes"));
+    let (tenants, prices, logs) = (d.child("tenants"), d.child("prices"), d.child("logs"));
+    let kinds = names(nodes.children("kind"), problems);
+    let class_names = names(classes.children("class"), problems);
+    let tenant_names = names(tenants.children("tenant"), problems);
+    if controller.count("number") >= controller.count("of") {
+        problems.push(controller.problem("number must be below of"));
+    }
+    let default_class = class_names.iter().position(|c| c == classes.word("default"));
+    if default_class.is_none() {
+        problems.push(classes.problem(format!("default=\"{}\" is no class", classes.word("default"))));
+    }
+    let size = |name: &str| usize::try_from(limits.count(name)).unwrap_or(usize::MAX);
+    let module = Settings {
+        schedulers: controller.count("of") as u32,
+        own_number: controller.count("number") as u32,
+        own_zone: controller.count("zone") as u8,
+        classes: classes.children("class").iter().map(|c| class(c, &kinds, limits, problems)).collect(),
+        kinds: nodes
+            .children("kind")
+            .iter()
+            .map(|k| MachineKind { cores: k.number("cores"), memory: k.number("memory") })
+            .collect(),
+        tenants: tenants
+            .children("tenant")
+            .iter()
+            .map(|t| Tenant { quota_cores: t.text("quota-cores").and_then(|q| q.parse().ok()) })
+            .collect(),
+        over_share_worth: tenants.number("over-share-worth"),
+        accepts_cores: nodes.number("accepts-cores"),
+        accepts_memory: nodes.number("accepts-memory"),
+        confirms: if nodes.word("confirms") == "accepted" { Confirms::Accepted } else { Confirms::Running },
+        preempts: nodes.flag("preempts"),
+        report_counts: if nodes.word("report-counts") == "used" {
+            ReportCounts::Used
+        } else {
+            ReportCounts::Asked
+        },
+        mean_cores: classes.number("mean-cores"),
+        mean_memory: classes.number("mean-memory"),
+        max_attempts: d.child("attempts").count("most") as u32,
+        may_withdraw: d.child("attempts").flag("may-withdraw"),
+        // Never two attempts of a task in flight.
+        may_duplicate: false,
+        probes: nodes.flag("probes"),
+        peer_messages: false,
+        list_on_request: list.word("mode") == "on-request",
+        ask_every: list.micros("ask-every"),
+        // The daemon keeps its own reserve ahead of the deadline, so the module is told of no slack after it.
+        answer_slack: 0,
+        drain_grace: rules.micros("drain-grace"),
+        cold_from: rules.number("cold-from"),
+        warm_within: rules.micros("warm-within"),
+        fall_multiple: rules.number("fall-multiple"),
+        fall_window: rules.micros("fall-window"),
+        cold_bears: rules.number("cold-bears"),
+        tick: 1_000,
+        fleet_price: prices.number("fleet"),
+        move_price: prices.number("move"),
+        refusal_price: prices.number("refusal"),
+        probe_price: prices.number("probe"),
+        settle: rules.micros("settle"),
+    };
+    Config {
+        name: controller.word("name").into(),
+        seed: controller.text("seed").and_then(|s| s.parse().ok()),
+        stop_within: controller.span("stop-within"),
+        record: controller.text("record").map(PathBuf::from),
+        listen: Listen {
+            clients: controller.address("clients"),
+            node_list: list.address("address"),
+            list_timeout: list.span("timeout"),
+            connect_timeout: links.span("connect-timeout"),
+            retry_least: links.span("retry-least"),
+            retry_most: links.span("retry-most").max(links.span("retry-least")),
+        },
+        limits: Limits {
+            clients: size("clients"),
+            calls: size("calls"),
+            client_queue: size("client-queue"),
+            client_idle: limits.span("client-idle"),
+            node_queue: size("node-queue"),
+            open_asks: size("open-asks"),
+            jobs: size("jobs"),
+            session_jobs: size("session-jobs"),
+            sessions: size("sessions"),
+            bulk: size("bulk"),
+            doubtful: size("doubtful"),
+            retry_after: limits.span("retry-after"),
+            answer_reserve: limits.span("answer-reserve"),
+            fate_memory: limits.span("fate-memory"),
+            lost_after: limits.span("lost-after"),
+        },
+        module,
+        class_asks: classes
+            .children("class")
+            .iter()
+            .map(|c| (c.number("cores"), c.number("memory")))
+            .collect(),
+        default_class: default_class.unwrap_or_default() as u16,
+        classes: class_names,
+        tenants: tenant_names,
+        kinds,
+        log_format: if logs.word("format") == "json" { LogFormat::Json } else { LogFormat::Text },
+        log_level: logs.word("level").into(),
+    }
+}
+
+fn class(c: &Document, kinds: &[String], limits: &Document, problems: &mut Vec<Problem>) -> Class {
+    let kind = c.text("kind").map(|name| kinds.iter().position(|k| k == name));
+    if kind == Some(None) {
+        problems.push(c.problem(format!("kind=\"{}\" is no kind of node", c.word("kind"))));
+    }
+    // The reserve and the module's own margin must leave time for a placing.
+    if c.micros("deadline") <= 2 * limits.micros("answer-reserve") {
+        problems.push(c.problem("deadline must be longer than twice limits/answer-reserve"));
+    }
+    let group = match c.word("group") {
+        "zone" => Group::Zone,
+        "rack" => Group::Rack,
+        _ => Group::All,
+    };
+    Class {
+        aim: c.micros("aim"),
+        deadline: c.micros("deadline"),
+        repeat: match c.word("repeat") {
+            "keyed" => Repeat::Keyed { group, window: c.micros("window") },
+            "unsafe" => Repeat::Unsafe,
+            _ => Repeat::Safe,
+        },
+        worth: c.number("worth"),
+        late_worth: c.number("late-worth"),
+        start_seconds: c.number("start-seconds"),
+        calm: c.number("calm"),
+        fade: c.number("fade"),
+        priority: c.count("priority") as u8,
+        kind: kind.flatten().map(|k| k as u8),
+        spread: match c.word("spread") {
+            "node" => Spread::Machine,
+            "rack" => Spread::Rack,
+            "zone" => Spread::Zone,
+            _ => Spread::Off,
+        },
+        most: c.count("most") as u32,
+    }
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,85 @@
+//! Settings files: what is read, and what is said of what is wrong.
+
+use peppercove::{Group, Repeat, Spread};
+use peppercove_config::{Config, SETTINGS, embedded_default, schema};
+
+fn problems(text: &str) -> Vec<String> {
+    let error = Config::parse(text).expect_err("it should not pass");
+    error.problems.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_embedded_default_is_read() {
+    let config = Config::parse(embedded_default()).unwrap();
+    assert_eq!(config.classes, ["fill", "render", "update"]);
+    assert_eq!(config.module.classes[1].repeat, Repeat::Keyed { group: Group::Rack, window: 5_000_000 });
+    assert_eq!(config.module.classes[1].spread, Spread::Rack);
+    assert_eq!(config.module.classes[2].repeat, Repeat::Unsafe);
+    assert_eq!(config.module.classes[2].deadline, 9_500_000);
+    assert_eq!(config.module.max_attempts, 4);
+    assert_eq!(config.class_asks[2], (8.0, 19.0));
+    assert_eq!(config.limits.open_asks, 100_000);
+}
+
+#[test]
+fn each_problem_is_named_with_its_place_and_what_was_expected() {
+    let text = embedded_default();
+    let cases = [
+        (
+            text.replace("<attempts most=\"4\"/>", "<attemps most=\"4\"/>"),
+            "7:3: peppercove: unknown element <attemps>",
+        ),
+        (
+            text.replace("most=\"4\"", "most=\"none\""),
+            "7:3: peppercove/attempts: most=\"none\": a whole number from 1 to 1000",
+        ),
+        (
+            text.replace("aim=\"800ms\"", "aim=\"800\""),
+            "13:5: peppercove/classes/class: aim=\"800\": a time such as",
+        ),
+        (text.replace("worth=\"5\"", "wort=\"5\""), "unknown attribute 'wort'; expected one of: name, aim"),
+        (
+            text.replace(" clients=\"127.0.0.1:0\"", ""),
+            "4:3: peppercove/controller: attribute 'clients' is missing",
+        ),
+        (
+            text.replace("default=\"fill\"", "default=\"full\""),
+            "peppercove/classes: default=\"full\" is no class",
+        ),
+        (text.replace("name=\"update\"", "name=\"fill\""), "name=\"fill\" stands twice"),
+        (text.replace("<attempts most=\"4\"/>", "<attempts/>four"), "text 'four' is not expected here"),
+        (
+            text.replace("<attempts most=\"4\"/>", "<attempts/><attempts/>"),
+            "peppercove/attempts: may stand only once",
+        ),
+        (text.replace("</peppercove>", ""), "not well-formed XML"),
+        (text.replace("deadline=\"8s\"", "deadline=\"40ms\""), "deadline must be longer than twice"),
+        (
+            text.replace("repeat=\"safe\"", "repeat=\"safe\" kind=\"huge\""),
+            "kind=\"huge\" is no kind of node",
+        ),
+        ("<pepper/>".into(), "1:1: pepper: <peppercove> was expected"),
+        ("<peppercove/>".into(), "element <controller> is missing"),
+    ];
+    for (text, expected) in cases {
+        let all = problems(&text);
+        assert!(all.iter().any(|p| p.contains(expected)), "{expected:?} is not in {all:#?}");
+    }
+}
+
+#[test]
+fn all_problems_are_told_at_once() {
+    let text = embedded_default()
+        .replace("most=\"4\"", "most=\"0\"")
+        .replace("cold-from=\"0.16\"", "cold-from=\"2\"");
+    assert_eq!(problems(&text).len(), 2);
+}
+
+#[test]
+fn the_shipped_schema_is_the_one_of_the_table() {
+    let shipped = include_str!("../../../schema/peppercove.xsd");
+    assert!(
+        shipped == schema::xsd(&SETTINGS),
+        "make it anew: peppercove config schema > schema/peppercove.xsd"
+    );
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,145 @@
+//! The controller daemon: sockets around the core.
+//!
+//! One thread, one tokio current-thread runtime. [`Controller::start`] binds the clients' socket, asks for the node
+//! list and keeps a link to each node that it names. What arrives becomes an input of the core; what the core gives
+//! back is written out. Nothing here decides anything: the front ([`session`], [`template`]) turns JSON-RPC into
+//! submissions, the links ([`link`], [`listing`]) turn frames into inputs and outputs into frames.
+
+mod link;
+mod listing;
+mod session;
+mod shell;
+pub mod template;
+
+pub use shell::limits;
+
+use peppercove_config::Config;
+use peppercove_core::{Counters, Input};
+use shell::Shell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, spawn_local};
+
+/// Why a controller did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// Its socket could not be bound.
+    #[error("cannot listen for clients on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Its record could not be written.
+    #[error("cannot write the record {path}: {source}")]
+    Record {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// What a stop left behind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// Asks that had to be answered because the time was over.
+    pub answered: usize,
+    /// Tasks that run on; the next life of this controller finds them again.
+    pub running: usize,
+    /// Unsafe tasks whose fate nobody knows.
+    pub doubtful: usize,
+}
+
+/// What a controller knows of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// What happened so far.
+    pub counters: Counters,
+    /// Asks without a final answer.
+    pub open_asks: usize,
+    /// Tasks placed and not ended.
+    pub running: usize,
+    /// Nodes that the list names and that are linked.
+    pub nodes_up: usize,
+    /// Version of the list held.
+    pub generation: u64,
+}
+
+/// A running controller. Dropping it kills it as a process would be: sockets close, nothing is answered.
+pub struct Controller {
+    shell: Rc<Shell>,
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Controller {
+    /// Starts a controller; must be called within a `LocalSet`.
+    ///
+    /// # Errors
+    /// [`StartError`] where its socket or record cannot be had.
+    pub async fn start(config: Config) -> Result<Controller, StartError> {
+        let wanted = config.listen.clients;
+        let listen = |source| StartError::Listen { address: wanted, source };
+        let listener = TcpListener::bind(wanted).await.map_err(listen)?;
+        let address = listener.local_addr().map_err(listen)?;
+        let shell = Rc::new(Shell::new(config)?);
+        shell.set_self();
+        let tasks = vec![
+            spawn_local(session::accept(shell.clone(), listener)),
+            spawn_local(listing::keep(shell.clone())),
+            spawn_local(shell::keep_time(shell.clone())),
+        ];
+        shell.input(Input::Tick);
+        tracing::info!(name = shell.config.name, %address, life = shell.life, "controller started");
+        Ok(Controller { shell, address, tasks })
+    }
+
+    /// Where it listens for clients.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it knows of itself.
+    pub fn status(&self) -> Status {
+        let core = self.shell.core.borrow();
+        Status {
+            counters: core.counters(),
+            open_asks: core.open_asks(),
+            running: core.placed_tasks(),
+            nodes_up: core.nodes().iter().filter(|(id, _)| core.nodes().is_up(**id)).count(),
+            generation: core.nodes().generation,
+        }
+    }
+
+    /// Stops cleanly: takes nothing new, waits for what is open for the stated time, answers the rest.
+    pub async fn stop(self) -> Left {
+        self.shell.input(Input::Stop);
+        let end = tokio::time::Instant::now() + self.shell.config.stop_within;
+        while self.shell.core.borrow().open_asks() > 0 && tokio::time::Instant::now() < end {
+            let changed = self.shell.settled.notified();
+            let _ = tokio::time::timeout_at(end, changed).await;
+        }
+        let answered = self.shell.core.borrow().open_asks();
+        self.shell.input(Input::Abandon);
+        // Answers are queued on the clients' connections; let them be written.
+        self.shell.flush_clients().await;
+        let core = self.shell.core.borrow();
+        let left = Left { answered, running: core.placed_tasks(), doubtful: core.doubtful_tasks() };
+        drop(core);
+        tracing::info!(?left, "controller stopped");
+        left
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.shell.close();
+    }
+}
--- /dev/null
+++ b/crates/controller/src/listing.rs
@@ -0,0 +1,129 @@
+//! The subscription to the node list.
+
+use crate::link::Backoff;
+use crate::shell::Shell;
+use futures_util::{SinkExt, StreamExt};
+use peppercove::{ListScope, MachineState};
+use peppercove_core::Input;
+use peppercove_core::nodes::NodeLine;
+use peppercove_protocol::codec::{FrameError, LIST_FRAME, Messages};
+use peppercove_protocol::list::{FromList, Line, NodeState, Scope, ToList};
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+type Link = Framed<TcpStream, Messages<FromList, ToList>>;
+
+#[derive(Debug, thiserror::Error)]
+enum ListError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error("no answer within the time-out")]
+    TimedOut,
+    #[error("closed by the list")]
+    Closed,
+    #[error("the call was turned away")]
+    TurnedAway,
+    #[error("the list speaks another version")]
+    WrongVersion,
+}
+
+/// Calls the list when the module asks for it, or by itself where the list pushes, and passes on what it tells.
+pub(crate) async fn keep(shell: Rc<Shell>) {
+    let listen = &shell.config.listen;
+    let by_itself = !shell.config.module.list_on_request;
+    let mut backoff = Backoff::new(listen.retry_least, listen.retry_most);
+    loop {
+        if !by_itself {
+            shell.watch.notified().await;
+        }
+        let error = match timeout(listen.list_timeout, subscribe(&shell)).await {
+            Ok(Ok((link, first))) => {
+                backoff.reset();
+                pass_on(&shell, first);
+                follow(&shell, link).await
+            }
+            Ok(Err(error)) => error,
+            Err(_) => ListError::TimedOut,
+        };
+        tracing::warn!(%error, "node list out of reach");
+        shell.input(Input::ListFailed);
+        if by_itself {
+            backoff.wait().await;
+        }
+    }
+}
+
+async fn subscribe(shell: &Shell) -> Result<(Link, FromList), ListError> {
+    let stream = TcpStream::connect(shell.config.listen.node_list).await?;
+    let mut link: Link = Framed::new(stream, Messages::new(LIST_FRAME));
+    let version = peppercove_protocol::VERSION;
+    link.send(&ToList::Hello { version, controller: shell.config.name.clone() }).await?;
+    match link.next().await.ok_or(ListError::Closed)?? {
+        FromList::Welcome { version: v } if v == version => {}
+        _ => return Err(ListError::WrongVersion),
+    }
+    let first = watch(shell, &mut link).await?;
+    Ok((link, first))
+}
+
+async fn watch(shell: &Shell, link: &mut Link) -> Result<FromList, ListError> {
+    let generation = shell.core.borrow().nodes().generation;
+    link.send(&ToList::Watch { after: (generation > 0).then_some(generation) }).await?;
+    match link.next().await.ok_or(ListError::Closed)?? {
+        FromList::Failed => Err(ListError::TurnedAway),
+        news => Ok(news),
+    }
+}
+
+async fn follow(shell: &Shell, mut link: Link) -> ListError {
+    loop {
+        tokio::select! {
+            news = link.next() => match news {
+                Some(Ok(news)) => pass_on(shell, news),
+                Some(Err(error)) => return error.into(),
+                None => return ListError::Closed,
+            },
+            () = shell.watch.notified() => {
+                match timeout(shell.config.listen.list_timeout, watch(shell, &mut link)).await {
+                    Ok(Ok(news)) => pass_on(shell, news),
+                    Ok(Err(error)) => return error,
+                    Err(_) => return ListError::TimedOut,
+                }
+            }
+        }
+    }
+}
+
+fn pass_on(shell: &Shell, news: FromList) {
+    let FromList::News { generation, scope, lines } = news else { return };
+    let scope = match scope {
+        Scope::Delta => ListScope::Delta,
+        Scope::Full => ListScope::Full,
+    };
+    let lines = lines.into_iter().map(line).collect();
+    shell.input(Input::List { scope, generation, lines });
+}
+
+fn line(line: Line) -> NodeLine {
+    let finite = |x: Option<f64>| x.filter(|x| x.is_finite());
+    NodeLine {
+        address: line.address,
+        name: line.name,
+        state: match line.state {
+            NodeState::Ready => MachineState::Ready,
+            NodeState::Draining => MachineState::Draining,
+            NodeState::Gone => MachineState::Gone,
+        },
+        kind: line.kind,
+        rack: line.rack,
+        zone: line.zone,
+        life: line.life,
+        age: line.age,
+        free_cores: finite(line.free_cores),
+        free_memory: finite(line.free_memory),
+    }
+}
--- /dev/null
+++ b/crates/controller/src/shell.rs
@@ -0,0 +1,398 @@
+//! The core, and what is around it: where inputs come in and outputs go out.
+
+use crate::StartError;
+use crate::link;
+use crate::session::Sessions;
+use peppercove::{MachineId, Micros, RequestId, Scheduler};
+use peppercove_config::Config;
+use peppercove_core::{
+    Answer, Control, Core, End, Input, Job, JobId, JobState, Limits, Output, Submission, record,
+};
+use peppercove_protocol::node::{self, AttemptId, Program, ToNode, Work};
+use peppercove_protocol::rpc;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// The controller's clock: wall time at its start, and monotonic from then on.
+pub(crate) struct Clock {
+    began: Instant,
+    base: Micros,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), base: u64::try_from(since.as_micros()).unwrap_or(0).max(1) }
+    }
+
+    pub(crate) fn now(&self) -> Micros {
+        self.base + u64::try_from(self.began.elapsed().as_micros()).unwrap_or(0)
+    }
+
+    fn instant(&self, at: Micros) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.began + Duration::from_micros(at.saturating_sub(self.base)))
+    }
+}
+
+/// A link's task, and its queue while it is up.
+pub(crate) struct LinkHandle {
+    pub(crate) queue: Option<mpsc::Sender<ToNode>>,
+    task: AbortHandle,
+}
+
+pub(crate) struct Shell {
+    pub(crate) config: Config,
+    pub(crate) life: u64,
+    pub(crate) clock: Clock,
+    pub(crate) core: RefCell<Core<Scheduler>>,
+    pub(crate) links: RefCell<BTreeMap<MachineId, LinkHandle>>,
+    pub(crate) sessions: RefCell<Sessions>,
+    /// The module asked for the list.
+    pub(crate) watch: Notify,
+    /// An ask was answered.
+    pub(crate) settled: Notify,
+    wake: Notify,
+    tickets: Cell<u64>,
+    record: Option<RefCell<BufWriter<File>>>,
+    me: RefCell<std::rc::Weak<Shell>>,
+}
+
+impl Shell {
+    pub(crate) fn new(config: Config) -> Result<Shell, StartError> {
+        let clock = Clock::new();
+        let seed = config.seed.unwrap_or_else(|| fastrand::u64(..));
+        // Lives only have to differ: the time of the start, scattered so that two in one microsecond do as well.
+        let life = clock.now() ^ (fastrand::u64(..) & 0xfff) << 52;
+        let limits = limits(&config, life);
+        let record = match &config.record {
+            Some(path) => {
+                let file =
+                    File::create(path).map_err(|source| StartError::Record { path: path.clone(), source })?;
+                let mut file = BufWriter::new(file);
+                let schedulers = (config.module.schedulers, config.module.own_number);
+                let head = record::Head { seed, life, schedulers };
+                let _ = writeln!(file, "{}", serde_json::to_string(&head).unwrap_or_default());
+                Some(RefCell::new(file))
+            }
+            None => None,
+        };
+        let core = Core::new(Scheduler::new(config.module.clone(), seed), limits);
+        Ok(Shell {
+            config,
+            life,
+            clock,
+            core: RefCell::new(core),
+            links: RefCell::default(),
+            sessions: RefCell::default(),
+            watch: Notify::new(),
+            settled: Notify::new(),
+            wake: Notify::new(),
+            tickets: Cell::new(0),
+            record,
+            me: RefCell::default(),
+        })
+    }
+
+    /// A number for a call whose answer comes among the outputs.
+    pub(crate) fn ticket(&self) -> u64 {
+        self.tickets.set(self.tickets.get() + 1);
+        self.tickets.get()
+    }
+
+    /// Hands an input to the core and carries its outputs out; what answers calls is given back.
+    pub(crate) fn input(&self, input: Input) -> Vec<Output> {
+        let mut inputs = VecDeque::from([input]);
+        let mut answers = Vec::new();
+        while let Some(input) = inputs.pop_front() {
+            let now = self.clock.now();
+            if let Some(record) = &self.record {
+                let _ = writeln!(record.borrow_mut(), "{}", record::write(now, &input));
+            }
+            let outputs = self.core.borrow_mut().handle(now, input);
+            for output in outputs {
+                self.carry_out(output, &mut inputs, &mut answers);
+            }
+        }
+        self.wake.notify_one();
+        answers
+    }
+
+    fn carry_out(&self, output: Output, inputs: &mut VecDeque<Input>, answers: &mut Vec<Output>) {
+        match output {
+            Output::Accepted { .. } | Output::Done { .. } | Output::TurnedAway { .. } => answers.push(output),
+            Output::Settled { job, answer } => {
+                self.settled.notify_one();
+                let core = self.core.borrow();
+                if let Some(j) = core.jobs().get(job) {
+                    let settled = self.settled_of(j, answer);
+                    self.sessions.borrow_mut().settled(&j.submission.session, job, settled);
+                }
+            }
+            Output::Finished(job) => {
+                let core = self.core.borrow();
+                if let Some(j) = core.jobs().get(job) {
+                    self.sessions.borrow_mut().finished(&j.submission.session, job);
+                }
+            }
+            Output::Connect { node, address, name } => {
+                let Some(shell) = self.me.borrow().upgrade() else { return };
+                let task = spawn_local(link::keep(shell, node, address, name)).abort_handle();
+                let old = self.links.borrow_mut().insert(node, LinkHandle { queue: None, task });
+                if let Some(old) = old {
+                    old.task.abort();
+                    inputs.push_back(Input::LinkDown(node));
+                }
+            }
+            Output::Disconnect(node) => {
+                if let Some(link) = self.links.borrow_mut().remove(&node) {
+                    link.task.abort();
+                }
+            }
+            Output::Offer { node, request, attempt, expires_in, job } => {
+                let work = self.core.borrow().jobs().get(job).map(|j| self.work(&j.submission));
+                let id = AttemptId { request: request.0, number: attempt };
+                let sent =
+                    work.is_some_and(|work| self.send(node, ToNode::Offer { attempt: id, expires_in, work }));
+                if !sent {
+                    inputs.push_back(Input::Unsent { node, request, attempt });
+                }
+            }
+            Output::Withdraw { node, request, attempt } => {
+                self.send(
+                    node,
+                    ToNode::Withdraw { attempt: AttemptId { request: request.0, number: attempt } },
+                );
+            }
+            Output::Act { node, request, attempt, control } => {
+                let action = match control {
+                    Control::Suspend => node::Control::Suspend,
+                    Control::Resume => node::Control::Resume,
+                    Control::Terminate | Control::Hold | Control::Release => node::Control::Terminate,
+                };
+                self.send(
+                    node,
+                    ToNode::Control { attempt: AttemptId { request: request.0, number: attempt }, action },
+                );
+            }
+            Output::Adopt { node, life, was, attempt, request } => {
+                let named = AttemptId { request: request.0, number: 0 };
+                let attempt = AttemptId { request: was.0, number: attempt };
+                self.send(node, ToNode::Adopt { life, attempt, named });
+            }
+            Output::StopStanding { node, life, was, attempt } => {
+                self.send(
+                    node,
+                    ToNode::Discard { life, attempt: AttemptId { request: was.0, number: attempt } },
+                );
+            }
+            Output::Probe(node) => {
+                self.send(node, ToNode::Probe { nonce: self.clock.now() });
+            }
+            Output::Watch => self.watch.notify_one(),
+            // No settings allow messages between controllers yet, so the module sends none.
+            Output::Tell(_) => {}
+            Output::Log(line) => tracing::warn!(target: "peppercove::module", "{line}"),
+        }
+    }
+
+    /// Queues a message for a node; false where there is no link or its queue is full.
+    fn send(&self, node: MachineId, message: ToNode) -> bool {
+        let links = self.links.borrow();
+        let queue = links.get(&node).and_then(|l| l.queue.as_ref());
+        queue.is_some_and(|q| q.try_send(message).is_ok())
+    }
+
+    /// Its own handle, for the tasks that it starts.
+    pub(crate) fn set_self(self: &Rc<Shell>) {
+        *self.me.borrow_mut() = Rc::downgrade(self);
+    }
+
+    fn work(&self, s: &Submission) -> Work {
+        let class = self.config.module.classes.get(usize::from(s.class));
+        let repeat = match class.map(|c| c.repeat) {
+            Some(peppercove::Repeat::Safe) => node::Repeat::Safe,
+            Some(peppercove::Repeat::Keyed { .. }) => node::Repeat::Keyed,
+            _ => node::Repeat::Unsafe,
+        };
+        let program = Program {
+            command: s.program.command.clone(),
+            args: s.program.args.clone(),
+            env: s.program.env.clone(),
+            working_directory: s.program.working_directory.clone(),
+            key: format!("{}\n{}", s.session, s.key),
+        };
+        Work {
+            task: s.task.0,
+            service: s.service.0,
+            class: s.class,
+            tenant: s.tenant,
+            cores: s.cores,
+            memory: s.memory,
+            priority: class.map_or(0, |c| c.priority),
+            repeat,
+            program,
+        }
+    }
+
+    /// The text by which clients know a job.
+    pub(crate) fn job_name(&self, job: JobId) -> String {
+        format!("{}.{:x}.{}", self.config.name, self.life, job.0)
+    }
+
+    /// The job of a text, if it is one of this life.
+    pub(crate) fn job_named(&self, text: &str) -> Option<JobId> {
+        let own = text.strip_prefix(self.config.name.as_str())?.strip_prefix('.')?;
+        let (life, number) = own.split_once('.')?;
+        (u64::from_str_radix(life, 16).ok()? == self.life).then_some(JobId(number.parse().ok()?))
+    }
+
+    pub(crate) fn settled_of(&self, job: &Job, answer: Answer) -> rpc::Settled {
+        let (outcome, node, retry_after) = match answer {
+            Answer::Placed(node) => (rpc::Outcome::Placed, Some(node), None),
+            Answer::Refused(after) => (rpc::Outcome::Refused, None, after),
+            Answer::Failed => (rpc::Outcome::Failed, None, None),
+            Answer::Withdrawn => (rpc::Outcome::Withdrawn, None, None),
+        };
+        let name = |id: MachineId| {
+            let known = self.core.borrow().nodes().get(id).map(|n| n.name.clone());
+            known.unwrap_or_else(|| format!("{:x}", id.0))
+        };
+        rpc::Settled {
+            job_id: self.job_name(job.id),
+            submission_key: job.submission.key.clone(),
+            outcome,
+            node: node.map(name),
+            retry_after_ms: retry_after.map(|us| us.div_ceil(1000)),
+        }
+    }
+
+    /// What `wait` tells of a finished job.
+    pub(crate) fn finished_of(&self, job: &Job) -> rpc::Finished {
+        let mut finished = rpc::Finished { job_id: self.job_name(job.id), ..rpc::Finished::default() };
+        let mut usage = |name: &str, value: String| {
+            finished.rusage.insert(name.into(), value);
+        };
+        let outcome = match job.answer {
+            Some(Answer::Placed(_)) => "placed",
+            Some(Answer::Refused(after)) => {
+                if let Some(after) = after {
+                    usage("retry_after_ms", after.div_ceil(1000).to_string());
+                }
+                "refused"
+            }
+            Some(Answer::Failed) => "failed",
+            Some(Answer::Withdrawn) | None => "withdrawn",
+        };
+        usage("outcome", outcome.into());
+        match job.end {
+            Some(End::Exited { wall, cpu, memory, .. } | End::Signalled { wall, cpu, memory, .. }) => {
+                usage("wallclock_s", format!("{:.6}", wall as f64 / 1e6));
+                usage("cpu_s", format!("{:.6}", cpu as f64 / 1e6));
+                usage("memory", format!("{memory:.3}"));
+            }
+            Some(End::GivenUp) => usage("end", "given-up".into()),
+            Some(End::Lost) => usage("end", "lost".into()),
+            None => {}
+        }
+        match job.end {
+            Some(End::Exited { status, .. }) => finished.exit_status = Some(status),
+            Some(End::Signalled { signal, .. }) => finished.signal = Some(signal),
+            Some(End::GivenUp | End::Lost) => {}
+            None => finished.aborted = job.state == JobState::Failed,
+        }
+        finished
+    }
+
+    pub(crate) async fn flush_clients(&self) {
+        for _ in 0..100 {
+            if self.sessions.borrow().is_flushed() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub(crate) fn close(&self) {
+        for (_, link) in std::mem::take(&mut *self.links.borrow_mut()) {
+            link.task.abort();
+        }
+        self.sessions.borrow_mut().close();
+        if let Some(record) = &self.record {
+            let _ = record.borrow_mut().flush();
+        }
+    }
+}
+
+/// What bounds a core, by the settings.
+pub fn limits(config: &Config, life: u64) -> Limits {
+    let micros = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
+    Limits {
+        life,
+        classes: config.module.classes.clone(),
+        confirms: config.module.confirms,
+        max_attempts: config.module.max_attempts,
+        most_open: config.limits.open_asks,
+        most_jobs: config.limits.jobs,
+        most_session_jobs: config.limits.session_jobs,
+        answer_reserve: micros(config.limits.answer_reserve),
+        retry_after: micros(config.limits.retry_after),
+        settle: config.module.settle,
+        fate_memory: micros(config.limits.fate_memory),
+        most_fates: config.limits.doubtful,
+        lost_after: micros(config.limits.lost_after),
+    }
+}
+
+/// Calls the core when it wants to be called.
+pub(crate) async fn keep_time(shell: Rc<Shell>) {
+    loop {
+        let next = shell.core.borrow().next_wake();
+        let sleep = async {
+            match next {
+                Some(at) => tokio::time::sleep_until(shell.clock.instant(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => {
+                shell.input(Input::Tick);
+            }
+            () = shell.wake.notified() => {}
+        }
+    }
+}
+
+/// A standing task as the core knows submissions.
+pub(crate) fn submission_of(work: Work) -> Submission {
+    let (session, key) = work.program.key.split_once('\n').unwrap_or(("", &work.program.key));
+    Submission {
+        session: session.into(),
+        key: key.into(),
+        task: peppercove::TaskKey(work.task),
+        service: peppercove::ServiceId(work.service),
+        class: work.class,
+        tenant: work.tenant,
+        cores: work.cores,
+        memory: work.memory,
+        deadline_in: 0,
+        life_hint: None,
+        again: true,
+        held: false,
+        program: peppercove_core::Program {
+            command: work.program.command,
+            args: work.program.args,
+            env: work.program.env,
+            working_directory: work.program.working_directory,
+        },
+    }
+}
+
+pub(crate) fn request_of(attempt: AttemptId) -> RequestId {
+    RequestId(attempt.request)
+}
--- /dev/null
+++ b/crates/core/src/engine.rs
@@ -0,0 +1,1248 @@
+//! The core: inputs in, the decision module asked, its actions carried out, outputs out.
+
+use crate::Decide;
+use crate::alarms::Alarms;
+use crate::fates::{Copy as StrayCopy, Fates, Trace, Verdict};
+use crate::jobs::{Answer, End, JobId, JobState, Jobs, Submission};
+use crate::life::{Ask, Attempt, Life};
+use crate::nodes::{Link, NodeLine, Nodes};
+use peppercove::{
+    Action, Class, Confirms, Event, ListScope, Load, MachineId, MachineState, Micros, Note, Outcome, Repeat,
+    Request, RequestId, Why,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// What bounds a core, all from the settings.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Another number after each start of the controller.
+    pub life: u64,
+    /// The classes, as the decision module has them.
+    pub classes: Vec<Class>,
+    /// What confirms a placing.
+    pub confirms: Confirms,
+    /// Attempts allowed for one ask.
+    pub max_attempts: u32,
+    /// Asks that may be open at once.
+    pub most_open: usize,
+    /// Jobs kept, finished ones included.
+    pub most_jobs: usize,
+    /// Jobs of one session that may be unfinished at once.
+    pub most_session_jobs: usize,
+    /// The module answers this long before its owner gives up, so that the answer still travels.
+    pub answer_reserve: Micros,
+    /// Advice to a client that met a bound.
+    pub retry_after: Micros,
+    /// How long owners wait before they ask again for a task whose fate is not known.
+    pub settle: Micros,
+    /// How long a fate is remembered.
+    pub fate_memory: Micros,
+    /// Tasks whose fate may be in doubt at once.
+    pub most_fates: usize,
+    /// A task on a node that cannot be reached counts as lost after this.
+    pub lost_after: Micros,
+}
+
+/// A task that a node says it holds of this controller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Life of the controller that placed it.
+    pub life: u64,
+    /// The ask in that life.
+    pub request: RequestId,
+    /// The attempt.
+    pub attempt: u16,
+    /// The task, as far as the node knows it.
+    pub submission: Submission,
+    /// It ended while nobody could be told.
+    pub ended: Option<End>,
+}
+
+/// What a node says of one attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum NodeNews {
+    /// It is accepted.
+    Accepted,
+    /// It runs.
+    Running,
+    /// Refused, or handed back before it ran.
+    Refused(Why),
+    /// The node answers with an error.
+    Error,
+    /// The task ended.
+    Ended(End, Why),
+    /// News of the running task.
+    Note(Note),
+}
+
+/// What the owner of a job may do to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Control {
+    /// Stop its clock.
+    Suspend,
+    /// Let it go on.
+    Resume,
+    /// Make no ask for it.
+    Hold,
+    /// Ask for it.
+    Release,
+    /// End it.
+    Terminate,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// News of the node list.
+    List {
+        /// How it relates to the list held.
+        scope: ListScope,
+        /// Its version.
+        generation: u64,
+        /// The lines.
+        lines: Vec<NodeLine>,
+    },
+    /// A call to the list failed or the subscription broke.
+    ListFailed,
+    /// A job is submitted.
+    Submit {
+        /// Comes back with the answer.
+        ticket: u64,
+        /// The job.
+        submission: Box<Submission>,
+    },
+    /// The owner acts on a job.
+    Control {
+        /// Comes back with the answer.
+        ticket: u64,
+        /// The job.
+        job: JobId,
+        /// What to do.
+        control: Control,
+    },
+    /// A finished job's client has taken note of it.
+    Dispose(JobId),
+    /// The link to a node stands, and the node has told what it holds.
+    LinkUp {
+        /// The node.
+        node: MachineId,
+        /// Its life.
+        life: u64,
+        /// What it holds.
+        standing: Vec<Standing>,
+    },
+    /// The link to a node broke.
+    LinkDown(MachineId),
+    /// A node speaks of an attempt.
+    News {
+        /// The node.
+        node: MachineId,
+        /// The ask.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+        /// What it says.
+        news: NodeNews,
+        /// A load report that came along.
+        load: Option<Load>,
+    },
+    /// A probe came back, or did not.
+    Probed {
+        /// The node.
+        node: MachineId,
+        /// It answered.
+        answered: bool,
+        /// Its load.
+        load: Option<Load>,
+    },
+    /// An offer could not be written: it never left.
+    Unsent {
+        /// The node.
+        node: MachineId,
+        /// The ask.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+    },
+    /// A message of another controller.
+    Peer {
+        /// Its number.
+        from: u32,
+        /// The message.
+        message: Vec<u8>,
+    },
+    /// Take nothing new.
+    Stop,
+    /// The grace of the stop is over: answer all that is open.
+    Abandon,
+}
+
+/// Why a submission or a control was turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TurnedAway {
+    /// A bound is met; come again after this long.
+    Full(Micros),
+    /// The controller stops; come again after this long, or ask another.
+    Stopping(Micros),
+    /// An earlier attempt of the task may run; come again after this long.
+    InDoubt(Micros),
+    /// The task ran, or may have: it will not be started again.
+    RanAlready,
+    /// The task is another job's, which is not finished.
+    TaskTaken(JobId),
+    /// There is no such job.
+    NoSuchJob,
+    /// The job's state does not allow it.
+    WrongState(JobState),
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// The job is taken in.
+    Accepted {
+        /// Of the submission.
+        ticket: u64,
+        /// The job.
+        job: JobId,
+    },
+    /// The control is carried out or on its way.
+    Done {
+        /// Of the control.
+        ticket: u64,
+    },
+    /// The submission or control is turned away.
+    TurnedAway {
+        /// Of the call.
+        ticket: u64,
+        /// Why.
+        why: TurnedAway,
+    },
+    /// The one final answer to the job's ask.
+    Settled {
+        /// The job.
+        job: JobId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The job is done or failed.
+    Finished(JobId),
+    /// Keep a link to this node.
+    Connect {
+        /// The node.
+        node: MachineId,
+        /// Where it listens.
+        address: SocketAddrV4,
+        /// The name it must answer to.
+        name: String,
+    },
+    /// Keep it no longer.
+    Disconnect(MachineId),
+    /// Offer a task.
+    Offer {
+        /// The node.
+        node: MachineId,
+        /// The ask.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+        /// How long it is waited for.
+        expires_in: Micros,
+        /// The job whose task it is.
+        job: JobId,
+    },
+    /// Wait for an attempt no longer.
+    Withdraw {
+        /// The node.
+        node: MachineId,
+        /// The ask.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+    },
+    /// Act on a task that runs.
+    Act {
+        /// The node.
+        node: MachineId,
+        /// The ask.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+        /// What to do: suspend, resume or terminate.
+        control: Control,
+    },
+    /// Call a standing task by a number of this life.
+    Adopt {
+        /// The node.
+        node: MachineId,
+        /// Life of the controller that placed it.
+        life: u64,
+        /// The ask in that life.
+        was: RequestId,
+        /// The attempt in that life.
+        attempt: u16,
+        /// The ask in this life; its attempt is 0.
+        request: RequestId,
+    },
+    /// Stop a standing task of an earlier life, which nobody knows.
+    StopStanding {
+        /// The node.
+        node: MachineId,
+        /// Life of the controller that placed it.
+        life: u64,
+        /// The ask in that life.
+        was: RequestId,
+        /// The attempt in that life.
+        attempt: u16,
+    },
+    /// Subscribe to the node list.
+    Watch,
+    /// Ask a node for its load.
+    Probe(MachineId),
+    /// Tell all other controllers something.
+    Tell(Vec<u8>),
+    /// A line for the people on call.
+    Log(String),
+}
+
+/// What happened so far, in numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Jobs taken in.
+    pub submitted: u64,
+    /// Submissions turned away at the door.
+    pub turned_away: u64,
+    /// Asks placed.
+    pub placed: u64,
+    /// Asks refused.
+    pub refused: u64,
+    /// Asks failed.
+    pub failed: u64,
+    /// Asks ended by their owner before they were placed.
+    pub withdrawn: u64,
+    /// Offers made.
+    pub offers: u64,
+    /// Offers that found no link.
+    pub unreachable: u64,
+    /// Attempts that nobody answered in time.
+    pub timed_out: u64,
+    /// Tasks taken over from an earlier life or a doubtful attempt.
+    pub adopted: u64,
+    /// Copies stopped that nobody waited for.
+    pub strays: u64,
+    /// What nodes said of attempts that they were never sent, or that were over.
+    pub out_of_place: u64,
+    /// Asks that the module left without an answer at their deadline: always a fault.
+    pub overdue: u64,
+    /// Actions of the module that could not be carried out.
+    pub void_actions: u64,
+    /// Refusals that could not be promised and went out as failures: always a fault.
+    pub broken_promises: u64,
+    /// Steps of a life that did not follow: always a fault.
+    pub illegal_steps: u64,
+}
+
+impl Counters {
+    /// The sum of two, figure by figure.
+    pub fn plus(&self, other: &Counters) -> Counters {
+        Counters {
+            submitted: self.submitted + other.submitted,
+            turned_away: self.turned_away + other.turned_away,
+            placed: self.placed + other.placed,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+            withdrawn: self.withdrawn + other.withdrawn,
+            offers: self.offers + other.offers,
+            unreachable: self.unreachable + other.unreachable,
+            timed_out: self.timed_out + other.timed_out,
+            adopted: self.adopted + other.adopted,
+            strays: self.strays + other.strays,
+            out_of_place: self.out_of_place + other.out_of_place,
+            overdue: self.overdue + other.overdue,
+            void_actions: self.void_actions + other.void_actions,
+            broken_promises: self.broken_promises + other.broken_promises,
+            illegal_steps: self.illegal_steps + other.illegal_steps,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Alarm {
+    Module(u64),
+    Attempt(RequestId, u16),
+    Deadline(RequestId),
+    Lost(MachineId),
+}
+
+/// One controller, without its sockets.
+pub struct Core<D> {
+    decider: D,
+    limits: Limits,
+    asks: BTreeMap<RequestId, Ask>,
+    open: usize,
+    jobs: Jobs,
+    nodes: Nodes,
+    fates: Fates,
+    alarms: Alarms<Alarm>,
+    next_request: u64,
+    now: Micros,
+    born: Option<Micros>,
+    stopping: bool,
+    moving: BTreeMap<RequestId, ()>,
+    events: Vec<Event>,
+    out: Vec<Output>,
+    counters: Counters,
+}
+
+/// Rounds of events and actions that one input may cause; each failed bind is one, and attempts are bounded.
+const MOST_ROUNDS: u32 = 10_000;
+
+impl<D: Decide> Core<D> {
+    /// A core that knows nothing yet.
+    pub fn new(decider: D, limits: Limits) -> Core<D> {
+        Core {
+            decider,
+            jobs: Jobs::new(limits.most_jobs),
+            fates: Fates::new(limits.settle, limits.fate_memory, limits.most_fates),
+            limits,
+            asks: BTreeMap::new(),
+            open: 0,
+            nodes: Nodes::default(),
+            alarms: Alarms::default(),
+            next_request: 0,
+            now: 0,
+            born: None,
+            stopping: false,
+            moving: BTreeMap::new(),
+            events: Vec::new(),
+            out: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> &Jobs {
+        &self.jobs
+    }
+
+    /// The nodes.
+    pub fn nodes(&self) -> &Nodes {
+        &self.nodes
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Asks without a final answer.
+    pub fn open_asks(&self) -> usize {
+        self.open
+    }
+
+    /// So many more jobs of a session stay within the bounds.
+    pub fn has_room(&self, session: &str, more: usize) -> bool {
+        self.open + more <= self.limits.most_open
+            && self.jobs.unfinished(session) + more <= self.limits.most_session_jobs
+            && self.jobs.all_unfinished() + more <= self.limits.most_jobs
+    }
+
+    /// Tasks that are placed and have not ended.
+    pub fn placed_tasks(&self) -> usize {
+        self.asks.values().filter(|a| matches!(a.life, Life::Placed(_))).count()
+    }
+
+    /// Tasks whose fate is in doubt.
+    pub fn doubtful_tasks(&self) -> usize {
+        self.fates.len()
+    }
+
+    /// When it wants to be called at the latest.
+    pub fn next_wake(&self) -> Option<Micros> {
+        [self.alarms.next(), self.fates.next()].into_iter().flatten().min()
+    }
+
+    /// Takes one input in and answers with what to do, in order.
+    pub fn handle(&mut self, now: Micros, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        self.born.get_or_insert(self.now);
+        self.ring();
+        self.take_in(input);
+        // The module is always asked: its own clock moves with every input.
+        let mut rounds = 0;
+        loop {
+            let events = std::mem::take(&mut self.events);
+            let actions = self.decider.decide(self.now, &events);
+            for action in actions {
+                self.act(action);
+            }
+            rounds += 1;
+            if self.events.is_empty() || rounds >= MOST_ROUNDS {
+                break;
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn ring(&mut self) {
+        while let Some(alarm) = self.alarms.due(self.now) {
+            match alarm {
+                Alarm::Module(label) => self.events.push(Event::Timer(label)),
+                Alarm::Attempt(request, attempt) => self.on_expired(request, attempt),
+                Alarm::Deadline(request) => self.on_overdue(request),
+                Alarm::Lost(node) => self.on_lost(node),
+            }
+        }
+        for trace in self.fates.due(self.now) {
+            self.stop_stray(trace);
+        }
+    }
+
+    fn take_in(&mut self, input: Input) {
+        match input {
+            Input::Tick => {}
+            Input::List { scope, generation, lines } => self.on_list(scope, generation, &lines),
+            Input::ListFailed => {
+                let (scope, version) = (ListScope::Failed, self.nodes.generation);
+                self.events.push(Event::MachineList { scope, version, lines: Vec::new() });
+            }
+            Input::Submit { ticket, submission } => self.on_submit(ticket, *submission),
+            Input::Control { ticket, job, control } => self.on_control(ticket, job, control),
+            Input::Dispose(job) => {
+                self.jobs.remove(job);
+            }
+            Input::LinkUp { node, life, standing } => self.on_link_up(node, life, standing),
+            Input::LinkDown(node) => self.on_link_down(node),
+            Input::News { node, request, attempt, news, load } => {
+                self.on_news(Trace { node, request, attempt }, news, load);
+            }
+            Input::Probed { node, answered, load } => {
+                self.events.push(Event::Probed { machine: node, answered, load });
+            }
+            Input::Unsent { node, request, attempt } => {
+                if self.out_at(Trace { node, request, attempt }) {
+                    self.counters.unreachable += 1;
+                    self.end_attempt(request, attempt, Outcome::Unreachable, Why::Unknown, None);
+                }
+            }
+            Input::Peer { from, message } => self.events.push(Event::Peer { from, message }),
+            Input::Stop => self.stopping = true,
+            Input::Abandon => self.on_abandon(),
+        }
+    }
+
+    // ---- The node list ----
+
+    fn on_list(&mut self, scope: ListScope, generation: u64, lines: &[NodeLine]) {
+        let (told, changes) = self.nodes.take_in(self.now, scope, generation, lines);
+        self.events.push(Event::MachineList { scope, version: generation, lines: told });
+        for node in changes.added {
+            if let Some(n) = self.nodes.get(node) {
+                self.out.push(Output::Connect { node, address: n.address, name: n.name.clone() });
+            }
+        }
+        for node in changes.gone {
+            if self.nodes.is_up(node) {
+                self.let_go(node);
+            } else {
+                self.lose_placed(node);
+            }
+        }
+    }
+
+    /// A node that the list names no more keeps its link while it holds anything of ours: its answers count.
+    fn let_go(&mut self, node: MachineId) {
+        let gone = self.nodes.get(node).is_some_and(|n| n.line.state == MachineState::Gone);
+        let holds = |a: &Ask| a.attempts.iter().any(|t| t.node == node && t.ended.is_none());
+        if gone && !self.asks.values().any(holds) {
+            self.fates.holds(self.now, node, false, &[]);
+            self.nodes.forget(node);
+            self.out.push(Output::Disconnect(node));
+        }
+    }
+
+    // ---- Submission and control ----
+
+    fn on_submit(&mut self, ticket: u64, submission: Submission) {
+        if let Some(job) = self.jobs.by_key(&submission.session, &submission.key) {
+            self.out.push(Output::Accepted { ticket, job });
+            return;
+        }
+        let verdict = match self.class(submission.class).map(|c| c.repeat) {
+            Some(Repeat::Unsafe) => self.fates.ask(submission.task),
+            _ => Verdict::Free,
+        };
+        if let Some(why) = self.turned_away(&submission, verdict) {
+            self.counters.turned_away += 1;
+            self.out.push(Output::TurnedAway { ticket, why });
+            return;
+        }
+        self.counters.submitted += 1;
+        let held = submission.held && !matches!(verdict, Verdict::TakeOver(_));
+        let state = if held { JobState::OnHold } else { JobState::Queued };
+        let job = self.jobs.add(submission, state);
+        self.out.push(Output::Accepted { ticket, job });
+        match verdict {
+            Verdict::TakeOver(trace) => self.take_over(job, trace),
+            _ if !held => self.ask(job),
+            _ => {}
+        }
+    }
+
+    /// What an earlier life of this controller sent is not known. An unsafe task that was asked for before waits
+    /// until each node had the time to tell what it holds.
+    fn asked_too_soon(&self, submission: &Submission) -> Option<Micros> {
+        let until = self.born?.saturating_add(self.limits.settle);
+        (submission.again && until > self.now).then(|| until - self.now)
+    }
+
+    fn turned_away(&self, submission: &Submission, verdict: Verdict) -> Option<TurnedAway> {
+        let unfinished = self.jobs.unfinished(&submission.session);
+        let unsafe_class = self.class(submission.class).is_some_and(|c| c.repeat == Repeat::Unsafe);
+        if self.stopping {
+            return Some(TurnedAway::Stopping(self.limits.retry_after));
+        }
+        if let Some(job) = self.jobs.by_task(submission.task) {
+            return Some(TurnedAway::TaskTaken(job));
+        }
+        if let (true, Some(after)) = (unsafe_class, self.asked_too_soon(submission)) {
+            return Some(TurnedAway::InDoubt(after));
+        }
+        match verdict {
+            Verdict::Later(after) => return Some(TurnedAway::InDoubt(after)),
+            Verdict::Never => return Some(TurnedAway::RanAlready),
+            Verdict::Free | Verdict::TakeOver(_) => {}
+        }
+        let full = self.open >= self.limits.most_open
+            || !self.jobs.has_room()
+            || unfinished >= self.limits.most_session_jobs
+            || (unsafe_class && self.fates.is_full());
+        full.then_some(TurnedAway::Full(self.limits.retry_after))
+    }
+
+    /// Asks the module to place a job's task.
+    fn ask(&mut self, job: JobId) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        (j.ask, j.state) = (Some(request), JobState::Queued);
+        let deadline_in = j.submission.deadline_in;
+        let request =
+            request_of(&j.submission, request, deadline_in.saturating_sub(self.limits.answer_reserve));
+        let deadline = self.now.saturating_add(deadline_in);
+        let ask = Ask { request: request.clone(), job, deadline, life: Life::Waiting, attempts: Vec::new() };
+        self.alarms.set(deadline, Alarm::Deadline(request.request));
+        self.asks.insert(request.request, ask);
+        self.open += 1;
+        self.events.push(Event::Place(request));
+    }
+
+    fn on_control(&mut self, ticket: u64, job: JobId, control: Control) {
+        let Some(j) = self.jobs.get(job) else {
+            self.out.push(Output::TurnedAway { ticket, why: TurnedAway::NoSuchJob });
+            return;
+        };
+        let (state, ask) = (j.state, j.ask);
+        let placed = ask.and_then(|r| self.asks.get(&r)).and_then(placed_at);
+        let ok = match (control, state) {
+            (Control::Hold, JobState::Queued) => {
+                let waiting = ask.filter(|r| self.asks.get(r).is_some_and(|a| a.life == Life::Waiting));
+                if let Some(request) = waiting {
+                    self.call_off(request);
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        (j.state, j.ask) = (JobState::OnHold, None);
+                    }
+                }
+                waiting.is_some()
+            }
+            (Control::Release, JobState::OnHold) => {
+                self.ask(job);
+                true
+            }
+            (Control::Suspend, JobState::Running) | (Control::Resume, JobState::Suspended) => {
+                if let Some(at) = placed.filter(|at| self.nodes.is_up(at.node)) {
+                    self.out.push(act(at, control));
+                    let to =
+                        if control == Control::Suspend { JobState::Suspended } else { JobState::Running };
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.state = to;
+                    }
+                    true
+                } else {
+                    false
+                }
+            }
+            (Control::Terminate, JobState::OnHold) => {
+                self.settle_job(job, Answer::Withdrawn);
+                true
+            }
+            (Control::Terminate, JobState::Queued) => {
+                if let Some(request) = ask {
+                    self.terminate_open(request);
+                }
+                true
+            }
+            (Control::Terminate, JobState::Running | JobState::Suspended) => {
+                if let Some(at) = placed {
+                    // A node that cannot be reached is told when its link stands again.
+                    self.out.push(act(at, control));
+                    self.moving.remove(&at.request);
+                }
+                true
+            }
+            _ => false,
+        };
+        let wrong = Output::TurnedAway { ticket, why: TurnedAway::WrongState(state) };
+        self.out.push(if ok { Output::Done { ticket } } else { wrong });
+    }
+
+    /// An ask that never left is forgotten, unanswered: its job makes another one later.
+    fn call_off(&mut self, request: RequestId) {
+        self.events.push(Event::Unwanted(request));
+        self.step(request, Life::Over);
+        self.forget_if_done(request);
+    }
+
+    fn terminate_open(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let (life, job) = (ask.life, ask.job);
+        self.events.push(Event::Unwanted(request));
+        self.doubt(request, false);
+        self.step(request, Life::Over);
+        self.settle_job(job, Answer::Withdrawn);
+        if let Life::Offered(attempt) = life {
+            self.withdraw(request, attempt);
+        }
+        self.forget_if_done(request);
+    }
+
+    // ---- The module's actions ----
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Watch => self.out.push(Output::Watch),
+            Action::Bind { request, machine, timeout } => self.bind(request, machine, timeout),
+            Action::Withdraw { request, attempt } => self.withdraw(request, attempt),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
+            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::Move(request) => match self.asks.get(&request).and_then(placed_at) {
+                Some(at) if self.nodes.is_up(at.node) => {
+                    self.moving.insert(request, ());
+                    self.out.push(act(at, Control::Terminate));
+                }
+                _ => self.counters.void_actions += 1,
+            },
+            Action::SetTimer { label, at } => self.alarms.set(at.max(self.now + 1), Alarm::Module(label)),
+            Action::Probe(node) => {
+                if self.nodes.is_up(node) {
+                    self.out.push(Output::Probe(node));
+                } else {
+                    self.events.push(Event::Probed { machine: node, answered: false, load: None });
+                }
+            }
+            Action::Tell(message) => self.out.push(Output::Tell(message)),
+            Action::Log(line) => self.out.push(Output::Log(line)),
+        }
+    }
+
+    fn bind(&mut self, request: RequestId, node: MachineId, timeout: Option<Micros>) {
+        let up = self.nodes.is_up(node);
+        let Some(ask) = self.asks.get_mut(&request) else {
+            self.counters.void_actions += 1;
+            return;
+        };
+        let number = u16::try_from(ask.attempts.len()).unwrap_or(u16::MAX);
+        let until = ask.deadline.saturating_sub(self.limits.answer_reserve);
+        let expires_at = until.min(timeout.map_or(until, |t| self.now.saturating_add(t)));
+        let spent = ask.attempts.len() >= self.limits.max_attempts as usize;
+        let sent = ask.life == Life::Waiting && !spent && until > self.now;
+        let attempt = Attempt { node, sent_at: self.now, expires_at, accepted: false, ended: None };
+        ask.attempts.push(attempt);
+        if !sent {
+            self.counters.void_actions += 1;
+            self.end_attempt(request, number, Outcome::NotSent, Why::Unknown, None);
+            return;
+        }
+        let job = ask.job;
+        self.step(request, Life::Offered(number));
+        if !up {
+            self.counters.unreachable += 1;
+            self.end_attempt(request, number, Outcome::Unreachable, Why::Unknown, None);
+            return;
+        }
+        self.counters.offers += 1;
+        self.alarms.set(expires_at, Alarm::Attempt(request, number));
+        let expires_in = expires_at - self.now;
+        self.out.push(Output::Offer { node, request, attempt: number, expires_in, job });
+    }
+
+    /// Stops waiting for an attempt; the node may still have started it.
+    fn withdraw(&mut self, request: RequestId, attempt: u16) {
+        let Some(at) = self.out_trace(request, attempt) else {
+            self.counters.void_actions += 1;
+            return;
+        };
+        self.out.push(Output::Withdraw { node: at.node, request, attempt });
+        self.end_attempt(request, attempt, Outcome::Withdrawn, Why::Unknown, None);
+    }
+
+    /// The final answer of the module to an ask that is not placed.
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        let open = self.asks.get(&request).filter(|a| a.life.is_open());
+        let Some(ask) = open else {
+            self.counters.void_actions += 1;
+            return;
+        };
+        let harmful =
+            !ask.never_ran() && self.class(ask.request.class).is_none_or(|c| c.repeat == Repeat::Unsafe);
+        let (job, mut answer) = (ask.job, answer);
+        if harmful && matches!(answer, Answer::Refused(_)) {
+            // Guard of the second rule: a refusal promises that a retry does no harm.
+            self.counters.broken_promises += 1;
+            answer = Answer::Failed;
+        }
+        self.doubt(request, true);
+        self.step(request, Life::Over);
+        self.settle_job(job, answer);
+        self.forget_if_done(request);
+    }
+
+    /// An unsafe task whose ask ends here and which may have run is remembered.
+    fn doubt(&mut self, request: RequestId, wanted: bool) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        if self.class(ask.request.class).is_some_and(|c| c.repeat == Repeat::Unsafe)
+            && let Some((i, a)) = ask.attempts.iter().enumerate().rfind(|(_, a)| !a.never_ran())
+        {
+            let trace = Trace { node: a.node, request, attempt: i as u16 };
+            self.fates.doubt(self.now, ask.request.task, trace, wanted);
+        }
+    }
+
+    /// The one place where a job's ask is answered.
+    fn settle_job(&mut self, job: JobId, answer: Answer) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        // A task that was moved or came again was answered when it was first placed.
+        if j.answer.is_none() {
+            j.answer = Some(answer);
+            match answer {
+                Answer::Placed(_) => self.counters.placed += 1,
+                Answer::Refused(_) => self.counters.refused += 1,
+                Answer::Failed => self.counters.failed += 1,
+                Answer::Withdrawn => self.counters.withdrawn += 1,
+            }
+            self.out.push(Output::Settled { job, answer });
+        }
+        match answer {
+            Answer::Placed(_) => j.state = JobState::Running,
+            _ => self.finish(job, JobState::Failed),
+        }
+    }
+
+    fn finish(&mut self, job: JobId, state: JobState) {
+        self.jobs.finish(job, state);
+        self.out.push(Output::Finished(job));
+    }
+
+    // ---- Attempts ----
+
+    fn class(&self, class: u16) -> Option<&Class> {
+        self.limits.classes.get(usize::from(class))
+    }
+
+    fn step(&mut self, request: RequestId, to: Life) -> bool {
+        let Some(ask) = self.asks.get_mut(&request) else { return false };
+        let was_open = ask.life.is_open();
+        let legal = ask.life.step(to);
+        self.open -= usize::from(was_open && !ask.life.is_open());
+        if let Err(step) = &legal {
+            debug_assert!(false, "{step}");
+            self.counters.illegal_steps += 1;
+            self.out.push(Output::Log(format!("fault: {step}")));
+        }
+        legal.is_ok()
+    }
+
+    fn out_trace(&self, request: RequestId, attempt: u16) -> Option<Trace> {
+        let a = self.asks.get(&request)?.attempts.get(usize::from(attempt))?;
+        let placed = self.asks.get(&request)?.life == Life::Placed(attempt);
+        (a.ended.is_none() && !placed).then_some(Trace { node: a.node, request, attempt })
+    }
+
+    fn out_at(&self, trace: Trace) -> bool {
+        self.out_trace(trace.request, trace.attempt).is_some_and(|t| t.node == trace.node)
+    }
+
+    /// An attempt that is out ends: the ask waits again, if it is not over.
+    fn end_attempt(
+        &mut self, request: RequestId, attempt: u16, outcome: Outcome, why: Why, load: Option<Load>,
+    ) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let Some(a) = ask.attempts.get_mut(usize::from(attempt)).filter(|a| a.ended.is_none()) else {
+            return;
+        };
+        a.ended = Some(outcome);
+        let (machine, life) = (a.node, ask.life);
+        if life == Life::Offered(attempt) {
+            self.step(request, Life::Waiting);
+        }
+        let over = matches!(life, Life::Over | Life::Placed(_));
+        self.events.push(Event::Ended { request, attempt, machine, outcome, why, over, load });
+        self.forget_if_done(request);
+        self.let_go(machine);
+    }
+
+    fn on_expired(&mut self, request: RequestId, attempt: u16) {
+        let Some(at) = self.out_trace(request, attempt) else { return };
+        self.counters.timed_out += 1;
+        self.out.push(Output::Withdraw { node: at.node, request, attempt });
+        self.end_attempt(request, attempt, Outcome::TimedOut, Why::Unknown, None);
+    }
+
+    /// Guard of the first rule: the module had until the reserve before this.
+    fn on_overdue(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request).filter(|a| a.life.is_open()) else { return };
+        let (job, life) = (ask.job, ask.life);
+        self.counters.overdue += 1;
+        self.out.push(Output::Log(format!("fault: ask {} was left without an answer", request.0)));
+        self.events.push(Event::Unwanted(request));
+        self.doubt(request, true);
+        self.step(request, Life::Over);
+        self.settle_job(job, Answer::Failed);
+        if let Life::Offered(attempt) = life {
+            self.withdraw(request, attempt);
+        }
+        self.forget_if_done(request);
+    }
+
+    fn forget_if_done(&mut self, request: RequestId) {
+        if self.asks.get(&request).is_some_and(Ask::is_done) {
+            self.asks.remove(&request);
+            self.moving.remove(&request);
+        }
+    }
+
+    // ---- What nodes say ----
+
+    fn on_news(&mut self, at: Trace, news: NodeNews, load: Option<Load>) {
+        let running = self.asks.get(&at.request).and_then(placed_at) == Some(at);
+        match (self.out_at(at), running) {
+            (true, _) => self.on_news_of_offer(at, news, load),
+            (_, true) => self.on_news_of_placed(at, news, load),
+            _ => self.on_news_out_of_place(at, &news),
+        }
+    }
+
+    fn on_news_of_offer(&mut self, at: Trace, news: NodeNews, load: Option<Load>) {
+        let Trace { node, request, attempt } = at;
+        let over = self.asks.get(&request).is_none_or(|a| a.life == Life::Over);
+        match news {
+            NodeNews::Accepted => {
+                if let Some(a) =
+                    self.asks.get_mut(&request).and_then(|a| a.attempts.get_mut(usize::from(attempt)))
+                {
+                    a.accepted = true;
+                }
+                if self.limits.confirms == Confirms::Accepted && !over {
+                    self.on_confirmed(at);
+                }
+                self.report(node, load);
+            }
+            NodeNews::Running if over => {
+                // Answered meanwhile: nobody waits for this copy.
+                self.end_attempt(request, attempt, Outcome::Withdrawn, Why::Unknown, load);
+                self.on_news_out_of_place(at, &NodeNews::Running);
+            }
+            NodeNews::Running => {
+                self.on_confirmed(at);
+                if self.limits.confirms == Confirms::Accepted {
+                    self.events.push(Event::Noted { request, attempt, machine: node, note: Note::Runs });
+                }
+                self.report(node, load);
+            }
+            NodeNews::Refused(why) => {
+                self.fates.never_ran(at);
+                self.end_attempt(request, attempt, Outcome::Refused, why, load);
+            }
+            NodeNews::Error => {
+                self.fates.over(self.now, at);
+                self.end_attempt(request, attempt, Outcome::Error, Why::Unknown, load);
+            }
+            NodeNews::Ended(..) if over => {
+                self.fates.over(self.now, at);
+                self.end_attempt(request, attempt, Outcome::Done, Why::Unknown, load);
+            }
+            NodeNews::Ended(..) => {
+                // It ran and ended before its start was told.
+                self.on_confirmed(at);
+                self.on_news_of_placed(at, news, load);
+            }
+            NodeNews::Note(note) => self.events.push(Event::Noted { request, attempt, machine: node, note }),
+        }
+    }
+
+    fn report(&mut self, node: MachineId, load: Option<Load>) {
+        if load.is_some() {
+            self.events.push(Event::Probed { machine: node, answered: true, load });
+        }
+    }
+
+    fn on_confirmed(&mut self, at: Trace) {
+        let Trace { node, request, attempt } = at;
+        if !self.step(request, Life::Placed(attempt)) {
+            return;
+        }
+        self.events.push(Event::Placed { request, attempt, machine: node });
+        if let Some(job) = self.asks.get(&request).map(|a| a.job) {
+            self.settle_job(job, Answer::Placed(node));
+        }
+    }
+
+    fn on_news_of_placed(&mut self, at: Trace, news: NodeNews, load: Option<Load>) {
+        let Trace { node, request, attempt } = at;
+        let (outcome, end, why) = match news {
+            NodeNews::Accepted => return self.report(node, load),
+            NodeNews::Running => {
+                if self.limits.confirms == Confirms::Accepted {
+                    self.events.push(Event::Noted { request, attempt, machine: node, note: Note::Runs });
+                }
+                return self.report(node, load);
+            }
+            NodeNews::Note(note) => {
+                self.events.push(Event::Noted { request, attempt, machine: node, note });
+                return;
+            }
+            NodeNews::Ended(end @ End::Exited { .. }, why) => (Outcome::Done, end, why),
+            NodeNews::Ended(end @ End::Signalled { .. }, why) => (Outcome::Withdrawn, end, why),
+            NodeNews::Ended(end, why) => (Outcome::Lost, end, why),
+            NodeNews::Refused(why) => (Outcome::Lost, End::GivenUp, why),
+            NodeNews::Error => (Outcome::Error, End::Lost, Why::Unknown),
+        };
+        self.end_placed(at, outcome, end, why, load);
+    }
+
+    fn end_placed(&mut self, at: Trace, outcome: Outcome, end: End, why: Why, load: Option<Load>) {
+        let Trace { node, request, attempt } = at;
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let job = ask.job;
+        if let Some(a) = ask.attempts.get_mut(usize::from(attempt)) {
+            a.ended = Some(outcome);
+        }
+        self.step(request, Life::Over);
+        self.events.push(Event::Ended { request, attempt, machine: node, outcome, why, over: true, load });
+        let moved = self.moving.remove(&request).is_some();
+        self.forget_if_done(request);
+        if moved {
+            self.ask(job);
+        } else {
+            if let Some(j) = self.jobs.get_mut(job) {
+                j.end = Some(end);
+            }
+            let done = matches!(end, End::Exited { .. } | End::Signalled { .. });
+            self.finish(job, if done { JobState::Done } else { JobState::Failed });
+        }
+        self.let_go(node);
+    }
+
+    /// News of an attempt that is over, was another node's, or never was. It settles doubts; a copy that runs and
+    /// that nobody waits for is stopped, so that it does not hold its room.
+    fn on_news_out_of_place(&mut self, at: Trace, news: &NodeNews) {
+        self.counters.out_of_place += 1;
+        // A node that names another's attempt is not to be told anything about it.
+        let known = self.asks.get(&at.request).and_then(|a| a.attempts.get(usize::from(at.attempt)));
+        if known.is_some_and(|a| a.node != at.node) {
+            self.out
+                .push(Output::Log(format!("node {:x} speaks of an attempt that is not its own", at.node.0)));
+            return;
+        }
+        match news {
+            NodeNews::Running => match self.fates.runs(self.now, at) {
+                StrayCopy::Kept => {}
+                StrayCopy::Unwanted | StrayCopy::NotInDoubt => self.stop_stray(at),
+            },
+            NodeNews::Refused(_) => self.fates.never_ran(at),
+            NodeNews::Ended(..) | NodeNews::Error => self.fates.over(self.now, at),
+            NodeNews::Accepted | NodeNews::Note(_) => {}
+        }
+    }
+
+    fn stop_stray(&mut self, at: Trace) {
+        self.counters.strays += 1;
+        self.out.push(act(at, Control::Terminate));
+    }
+
+    // ---- Links ----
+
+    fn on_link_up(&mut self, node: MachineId, life: u64, standing: Vec<Standing>) {
+        let Some(n) = self.nodes.get_mut(node) else { return };
+        let same_life = n.own_life.is_none_or(|old| old == life);
+        (n.link, n.own_life) = (Link::Up, Some(life));
+        // The list tells of a restart seconds later; until then all controllers would push a cold node over.
+        if let Some(line) = n.restarted(self.now, life) {
+            let (scope, version) = (ListScope::Delta, self.nodes.generation);
+            self.events.push(Event::MachineList { scope, version, lines: vec![line] });
+        }
+        let own = |s: &&Standing| s.life == self.limits.life;
+        let trace = |s: &Standing| Trace { node, request: s.request, attempt: s.attempt };
+        let held: Vec<Trace> = standing.iter().filter(own).map(trace).collect();
+        self.fates.holds(self.now, node, same_life, &held);
+        let placed: Vec<Trace> = self
+            .asks
+            .values()
+            .filter_map(placed_at)
+            .filter(|t| t.node == node && !held.contains(t))
+            .collect();
+        for at in placed {
+            self.end_placed(at, Outcome::Lost, End::Lost, Why::Unknown, None);
+        }
+        for s in standing {
+            if s.life == self.limits.life {
+                let at = trace(&s);
+                if self.asks.get(&at.request).and_then(placed_at) != Some(at) && !self.out_at(at) {
+                    self.on_news_out_of_place(at, &NodeNews::Running);
+                }
+            } else if let Some(end) = s.ended {
+                self.learn_of_past(node, s, end);
+            } else {
+                self.adopt(node, s);
+            }
+        }
+    }
+
+    /// A task of an earlier life ran and ended: its job is known again under its key, and one that must not run
+    /// twice is not started again for an owner who never heard of it.
+    fn learn_of_past(&mut self, node: MachineId, s: Standing, end: End) {
+        let ran = matches!(end, End::Exited { .. } | End::Signalled { .. });
+        let once = self.class(s.submission.class).is_some_and(|c| c.repeat == Repeat::Unsafe);
+        if once && ran {
+            let trace = Trace { node, request: self.new_request(), attempt: 0 };
+            self.fates.doubt(self.now, s.submission.task, trace, false);
+            self.fates.over(self.now, trace);
+        }
+        let known = self.jobs.by_key(&s.submission.session, &s.submission.key).is_some();
+        if known || self.jobs.by_task(s.submission.task).is_some() || !self.jobs.has_room() {
+            return;
+        }
+        let job = self.jobs.add(s.submission, JobState::Queued);
+        if let Some(j) = self.jobs.get_mut(job) {
+            (j.answer, j.end) = (Some(Answer::Placed(node)), Some(end));
+        }
+        self.finish(job, if ran { JobState::Done } else { JobState::Failed });
+    }
+
+    fn new_request(&mut self) -> RequestId {
+        self.next_request += 1;
+        RequestId(self.next_request - 1)
+    }
+
+    /// A task that an earlier life placed runs on; its job is found again under its key.
+    fn adopt(&mut self, node: MachineId, s: Standing) {
+        let Standing { life, request: was, attempt, submission, .. } = s;
+        let known = self.class(submission.class).is_some();
+        let taken = self.jobs.by_task(submission.task).is_some();
+        if !known || taken || !self.jobs.has_room() {
+            self.counters.strays += 1;
+            self.out.push(Output::StopStanding { node, life, was, attempt });
+            return;
+        }
+        let job = self.jobs.add(submission, JobState::Queued);
+        let request = self.stand(job, node);
+        self.out.push(Output::Adopt { node, life, was, attempt, request });
+    }
+
+    /// A doubtful attempt was found running and its owner asks again: that copy is the new job's.
+    fn take_over(&mut self, job: JobId, trace: Trace) {
+        self.fates.taken_over(trace);
+        let request = self.stand(job, trace.node);
+        let (life, was, attempt) = (self.limits.life, trace.request, trace.attempt);
+        self.out.push(Output::Adopt { node: trace.node, life, was, attempt, request });
+    }
+
+    fn stand(&mut self, job: JobId, node: MachineId) -> RequestId {
+        let id = self.new_request();
+        self.counters.adopted += 1;
+        let Some(j) = self.jobs.get_mut(job) else { return id };
+        j.ask = Some(id);
+        let request = request_of(&j.submission, id, 0);
+        let attempt = Attempt { node, sent_at: self.now, expires_at: self.now, accepted: true, ended: None };
+        let (deadline, attempts) = (self.now, vec![attempt]);
+        let ask = Ask { request: request.clone(), job, deadline, life: Life::Waiting, attempts };
+        self.asks.insert(id, ask);
+        self.open += 1;
+        self.step(id, Life::Placed(0));
+        self.events.push(Event::Standing { request, machine: node });
+        self.settle_job(job, Answer::Placed(node));
+        id
+    }
+
+    fn on_link_down(&mut self, node: MachineId) {
+        let Some(n) = self.nodes.get_mut(node) else { return };
+        if n.link == Link::Up {
+            n.link = Link::Down(self.now);
+            self.alarms.set(self.now.saturating_add(self.limits.lost_after), Alarm::Lost(node));
+        }
+        let out: Vec<(RequestId, u16)> = self
+            .asks
+            .iter()
+            .flat_map(|(r, a)| a.attempts.iter().enumerate().map(move |(i, t)| (*r, a, i as u16, t)))
+            .filter(|(_, a, i, t)| t.node == node && t.ended.is_none() && a.life != Life::Placed(*i))
+            .map(|(r, _, i, _)| (r, i))
+            .collect();
+        for (request, attempt) in out {
+            self.end_attempt(request, attempt, Outcome::Lost, Why::Unknown, None);
+        }
+        if self.nodes.get(node).is_some_and(|n| n.line.state == MachineState::Gone) {
+            self.lose_placed(node);
+        }
+    }
+
+    fn on_lost(&mut self, node: MachineId) {
+        let Some(Link::Down(since)) = self.nodes.get(node).map(|n| n.link) else { return };
+        if since.saturating_add(self.limits.lost_after) <= self.now {
+            self.lose_placed(node);
+        }
+    }
+
+    /// Tasks on a node that is gone, or was out of reach for too long, count as lost; whether they still run
+    /// stays in doubt until the node is heard again or gone for good.
+    fn lose_placed(&mut self, node: MachineId) {
+        let placed: Vec<Trace> =
+            self.asks.values().filter_map(placed_at).filter(|t| t.node == node).collect();
+        for at in placed {
+            self.doubt(at.request, true);
+            self.end_placed(at, Outcome::Lost, End::Lost, Why::Unknown, None);
+        }
+        self.let_go(node);
+    }
+
+    // ---- The end ----
+
+    fn on_abandon(&mut self) {
+        self.stopping = true;
+        let open: Vec<RequestId> = self.asks.values().filter(|a| a.life.is_open()).map(Ask::id).collect();
+        for request in open {
+            self.events.push(Event::Unwanted(request));
+            let harmless = self.asks.get(&request).is_some_and(Ask::never_ran);
+            let retry_after = Some(self.limits.retry_after);
+            self.answer(request, if harmless { Answer::Refused(retry_after) } else { Answer::Failed });
+        }
+    }
+}
+
+fn placed_at(ask: &Ask) -> Option<Trace> {
+    let Life::Placed(attempt) = ask.life else { return None };
+    let node = ask.attempts.get(usize::from(attempt))?.node;
+    Some(Trace { node, request: ask.id(), attempt })
+}
+
+fn act(at: Trace, control: Control) -> Output {
+    Output::Act { node: at.node, request: at.request, attempt: at.attempt, control }
+}
+
+fn request_of(s: &Submission, request: RequestId, deadline_in: Micros) -> Request {
+    let Submission { task, service, class, tenant, cores, memory, life_hint, again, .. } = s.clone();
+    Request { request, task, service, class, tenant, cores, memory, deadline_in, life_hint, again }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! One controller's state machine, without sockets, clock or threads.
+//!
+//! [`Core::handle`] takes one [`Input`] with the time it happened and returns [`Output`]s. Every placement decision
+//! comes from the decision module, behind [`Decide`]; the core carries its actions out and feeds it events, in
+//! order, with their time. What the core itself holds are facts: the life of each ask ([`life`]), the jobs that
+//! clients see ([`jobs`]), the nodes that the list names ([`nodes`]) and what became of tasks that must not run
+//! twice ([`fates`]). The same inputs give the same outputs ([`record`]).
+//!
+//! May use: the decision module's interface and plain data. Must not know: sockets, frames, JSON, XML, files.
+
+mod alarms;
+mod engine;
+pub mod fates;
+pub mod jobs;
+pub mod life;
+pub mod nodes;
+pub mod record;
+
+pub use engine::{Control, Core, Counters, Input, Limits, NodeNews, Output, Standing, TurnedAway};
+pub use jobs::{Answer, End, Job, JobId, JobState, Program, Submission};
+
+use peppercove::{Action, Event, Micros, Scheduler};
+
+/// What decides: the decision module, or a stand-in for it in a test.
+pub trait Decide {
+    /// Takes in what happened at `now`, in order, and answers with what to do.
+    fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action>;
+}
+
+impl Decide for Scheduler {
+    fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.handle(now, events)
+    }
+}
--- /dev/null
+++ b/crates/core/src/life.rs
@@ -0,0 +1,144 @@
+//! The life of one ask, as one enum whose transitions are checked, and of its attempts.
+//!
+//! ```text
+//! Waiting --offer--> Offered --confirm--> Placed --end--> Over
+//!    ^                  |  \                                ^
+//!    +----back----------+   +----------- answer -----------+
+//!    +------------------------------------ answer ---------+
+//! ```
+
+use crate::jobs::JobId;
+use peppercove::{MachineId, Micros, Outcome, Request, RequestId};
+use std::fmt;
+
+/// Where an ask stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Taken in, no attempt is out.
+    Waiting,
+    /// This attempt is out, not confirmed yet.
+    Offered(u16),
+    /// This attempt placed it: the final answer is given.
+    Placed(u16),
+    /// Answered otherwise, or its task has ended.
+    Over,
+}
+
+/// A step of a life that does not follow from where it stands: a fault of the program, never of its input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IllegalStep {
+    /// Where it stood.
+    pub from: Life,
+    /// Where it should have gone.
+    pub to: Life,
+}
+
+impl fmt::Display for IllegalStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an ask that is {:?} cannot become {:?}", self.from, self.to)
+    }
+}
+
+impl std::error::Error for IllegalStep {}
+
+impl Life {
+    /// The final answer is still owed.
+    pub fn is_open(self) -> bool {
+        matches!(self, Life::Waiting | Life::Offered(_))
+    }
+
+    /// Steps to `to`, where that follows.
+    ///
+    /// # Errors
+    /// [`IllegalStep`] leaves the life as it was.
+    pub fn step(&mut self, to: Life) -> Result<(), IllegalStep> {
+        let legal = match (*self, to) {
+            (Life::Waiting, Life::Offered(_)) | (Life::Offered(_), Life::Waiting) => true,
+            (Life::Offered(out), Life::Placed(confirmed)) => out == confirmed,
+            // A task found running is placed without an offer of this life.
+            (Life::Waiting, Life::Placed(0)) => true,
+            (Life::Waiting | Life::Offered(_) | Life::Placed(_), Life::Over) => true,
+            _ => false,
+        };
+        if !legal {
+            return Err(IllegalStep { from: *self, to });
+        }
+        *self = to;
+        Ok(())
+    }
+}
+
+/// One attempt of an ask.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Where it was sent.
+    pub node: MachineId,
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// When the controller stops waiting for it.
+    pub expires_at: Micros,
+    /// The node said that it has accepted it.
+    pub accepted: bool,
+    /// How it ended; `None` while it is out or its task runs.
+    pub ended: Option<Outcome>,
+}
+
+impl Attempt {
+    /// The outcome proves that the task never ran, or nothing was sent.
+    pub fn never_ran(&self) -> bool {
+        matches!(self.ended, Some(Outcome::Refused | Outcome::Unreachable | Outcome::NotSent))
+    }
+}
+
+/// One ask for a placing.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// As the decision module was told of it.
+    pub request: Request,
+    /// The job that asks.
+    pub job: JobId,
+    /// When its owner gives up.
+    pub deadline: Micros,
+    /// Where it stands.
+    pub life: Life,
+    /// Its attempts, in the order of the module's binds.
+    pub attempts: Vec<Attempt>,
+}
+
+impl Ask {
+    /// Its id.
+    pub fn id(&self) -> RequestId {
+        self.request.request
+    }
+
+    /// Nothing of it may have run: a retry by its owner does no harm.
+    pub fn never_ran(&self) -> bool {
+        self.attempts.iter().all(Attempt::never_ran)
+    }
+
+    /// It can be forgotten: it is over and no attempt is out.
+    pub fn is_done(&self) -> bool {
+        self.life == Life::Over && self.attempts.iter().all(|a| a.ended.is_some())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_ask_is_answered_once_and_never_revived() {
+        let all =
+            [Life::Waiting, Life::Offered(0), Life::Offered(1), Life::Placed(0), Life::Placed(1), Life::Over];
+        for to in all {
+            let mut over = Life::Over;
+            assert_eq!(over.step(to), Err(IllegalStep { from: Life::Over, to }));
+            let mut placed = Life::Placed(1);
+            assert_eq!(placed.step(to).is_ok(), to == Life::Over, "{to:?}");
+        }
+        let mut offered = Life::Offered(0);
+        assert!(offered.step(Life::Placed(1)).is_err(), "another attempt cannot confirm");
+        assert!(offered.step(Life::Offered(1)).is_err(), "two attempts cannot be out");
+        assert!(offered.step(Life::Placed(0)).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/core/src/record.rs
@@ -0,0 +1,66 @@
+//! A record of what a core was told, line by line, and its replay: the same inputs give the same outputs.
+
+use crate::engine::{Core, Input, Output};
+use crate::{Decide, Limits};
+use peppercove::Micros;
+use serde::{Deserialize, Serialize};
+
+/// The first line of a record: what the core was made with, beside its settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// Seed of the decision module.
+    pub seed: u64,
+    /// Life of the controller.
+    pub life: u64,
+    /// How many controllers shared the nodes, and its number among them.
+    pub schedulers: (u32, u32),
+}
+
+impl Head {
+    /// The settings of the module as they were.
+    pub fn module(&self, settings: &peppercove::Settings) -> peppercove::Settings {
+        let (schedulers, own_number) = self.schedulers;
+        peppercove::Settings { schedulers, own_number, ..settings.clone() }
+    }
+}
+
+/// One line: when, and what.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Time by the clock of the controller.
+    pub at: Micros,
+    /// What it was told.
+    pub input: Input,
+}
+
+/// A line that is no record.
+#[derive(Debug, thiserror::Error)]
+#[error("record line {number}: {source}")]
+pub struct RecordError {
+    /// Its number, from 1.
+    pub number: usize,
+    /// What is wrong with it.
+    source: serde_json::Error,
+}
+
+/// Writes one line, without its end.
+pub fn write(at: Micros, input: &Input) -> String {
+    serde_json::to_string(&Line { at, input: input.clone() }).unwrap_or_default()
+}
+
+/// Puts a record through a core and hands each input's outputs to `each`.
+///
+/// # Errors
+/// [`RecordError`] at the first line that cannot be read; what came before it has been played.
+pub fn replay<D: Decide>(
+    text: &str, decider: D, limits: Limits, mut each: impl FnMut(&Line, &[Output]),
+) -> Result<Core<D>, RecordError> {
+    let mut core = Core::new(decider, limits);
+    for (i, text) in text.lines().enumerate().filter(|(_, text)| !text.is_empty()) {
+        let line: Line =
+            serde_json::from_str(text).map_err(|source| RecordError { number: i + 1, source })?;
+        let outputs = core.handle(line.at, line.input.clone());
+        each(&line, &outputs);
+    }
+    Ok(core)
+}
--- /dev/null
+++ b/crates/day/src/play.rs
@@ -0,0 +1,503 @@
+//! A day played: everything started on loopback, the load and the faults over time, and the verdict at the end.
+
+use crate::clients::{ClassFact, Owners, Tally, misbehave};
+use crate::script::{Arrival, Fault, Hits, Script};
+use crate::tap::{Book, ClassFacts, Line, Tap};
+use peppercove::{Group, Repeat, Spread};
+use peppercove_audit::{ClassFigures, Figures, Place, Seen, Started, Verdict, judge};
+use peppercove_config::Config;
+use peppercove_controller::{Controller, StartError};
+use peppercove_core::Counters;
+use peppercove_protocol::list::NodeState;
+use peppercove_protocol::node;
+use peppercove_standins::Clock;
+use peppercove_standins::list::List;
+use peppercove_standins::model::{ClassFault, Shared};
+use peppercove_standins::node::Node;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Why a day could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum PlayError {
+    /// A socket could not be had.
+    #[error("socket: {0}")]
+    Io(#[from] io::Error),
+    /// A controller did not start.
+    #[error("controller: {0}")]
+    Start(#[from] StartError),
+}
+
+/// Placing delays of one class, in microseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Delays {
+    /// Jobs placed.
+    pub count: u64,
+    /// Median.
+    pub p50: u64,
+    /// 99 in 100 were placed within this.
+    pub p99: u64,
+    /// The longest.
+    pub max: u64,
+}
+
+/// What a day came to.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// Name of the day.
+    pub day: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Controllers.
+    pub controllers: usize,
+    /// Nodes.
+    pub nodes: usize,
+    /// Jobs asked for.
+    pub jobs: u64,
+    /// Asks made again.
+    pub again: u64,
+    /// Answers, by class and answer.
+    pub answers: BTreeMap<String, u64>,
+    /// Submissions turned away, by error.
+    pub turned_away: BTreeMap<&'static str, u64>,
+    /// Placing delays by class.
+    pub delays: BTreeMap<String, Delays>,
+    /// What the audit found.
+    pub verdict: Verdict,
+    /// What the controllers counted, added up; the audit does not use it.
+    pub counters: Counters,
+    /// The longest that this machine stalled, in microseconds; the audit allows for it.
+    pub stall: u64,
+    /// Asks that their owners still had open at the end.
+    pub unanswered: usize,
+}
+
+impl Report {
+    /// No rule is broken and nothing is left open.
+    pub fn is_clean(&self) -> bool {
+        self.verdict.is_clean() && self.unanswered == 0
+    }
+}
+
+/// One controller of the day, and what starts it again.
+struct Seat {
+    config: Config,
+    running: RefCell<Option<Controller>>,
+    tap: Tap,
+    counted: RefCell<Vec<Counters>>,
+}
+
+impl Seat {
+    fn kill(&self, book: &Book) {
+        if let Some(controller) = self.running.borrow_mut().take() {
+            self.counted.borrow_mut().push(controller.status().counters);
+            book.write(Seen::Killed { controller: self.config.name.clone() });
+            self.tap.set_cut(true);
+        }
+    }
+
+    async fn start(&self) -> Result<(), PlayError> {
+        let controller = Controller::start(self.config.clone()).await?;
+        self.tap.retarget(controller.address());
+        self.tap.set_cut(false);
+        *self.running.borrow_mut() = Some(controller);
+        Ok(())
+    }
+}
+
+/// The fleet of a day on loopback.
+struct Stage {
+    clock: Clock,
+    book: Book,
+    shared: Shared,
+    list: List,
+    nodes: Vec<Node>,
+    taps: Vec<Tap>,
+    seats: Vec<Rc<Seat>>,
+    rate: Cell<f64>,
+}
+
+/// Where the records of a day's controllers are written, if anywhere.
+pub type Records = Option<PathBuf>;
+
+/// Plays a day on a runtime of its own, in this thread.
+///
+/// # Errors
+/// [`PlayError`] where a socket or a controller cannot be had.
+pub fn play(script: &Script, seed: u64, records: Records) -> Result<Report, PlayError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let report = local.block_on(&runtime, run(script, seed, records));
+    drop(local);
+    report
+}
+
+impl Stage {
+    async fn build(script: &Script, seed: u64, records: &Records) -> Result<Stage, PlayError> {
+        let (clock, shared) = (Clock::default(), Shared::default());
+        let book = Book::new(clock);
+        let micros = |d: Duration| d.as_micros() as u64;
+        let list = List::start(clock, micros(script.list_late), script.list_refresh).await?;
+        let list_tap = Tap::start(list.address().into(), Line::List, book.clone()).await?;
+        let (mut nodes, mut taps) = (Vec::new(), Vec::new());
+        for (i, spec) in script.nodes.iter().enumerate() {
+            let node = Node::start(spec.clone(), shared.clone(), clock, seed ^ (i as u64) << 8).await?;
+            let line = Line::Node(spec.name.clone());
+            let tap = Tap::start(node.address().into(), line, book.clone()).await?;
+            list.add(&node, tap.address());
+            nodes.push(node);
+            taps.push(tap);
+        }
+        let facts = Rc::new(facts(&script.config));
+        let mut seats = Vec::new();
+        for i in 0..script.controllers {
+            let mut config = script.config.clone();
+            config.name = format!("controller-{i}");
+            config.seed = Some(seed.wrapping_mul(1000) + i as u64);
+            config.listen.clients = ([127, 0, 0, 1], 0).into();
+            config.listen.node_list = list_tap.address().into();
+            config.module.schedulers = script.controllers as u32;
+            config.module.own_number = i as u32;
+            config.record = records.as_ref().map(|folder| folder.join(format!("controller-{i}.jsonl")));
+            let line = Line::Clients(config.name.clone(), facts.clone());
+            let tap = Tap::start(([127, 0, 0, 1], 9).into(), line, book.clone()).await?;
+            let seat = Seat { config, running: RefCell::default(), tap, counted: RefCell::default() };
+            seat.start().await?;
+            seats.push(Rc::new(seat));
+        }
+        Ok(Stage { clock, book, shared, list, nodes, taps, seats, rate: Cell::new(1.0) })
+    }
+
+    /// Waits until every controller has a link to every node.
+    async fn ready(&self) {
+        let all = |s: &Rc<Seat>| {
+            s.running.borrow().as_ref().is_some_and(|c| c.status().nodes_up == self.nodes.len())
+        };
+        for _ in 0..2000 {
+            if self.seats.iter().all(all) {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn hit_nodes(&self, hits: &Hits, rng: &mut fastrand::Rng) -> Vec<usize> {
+        let all = 0..self.nodes.len();
+        match hits {
+            Hits::Node(name) => all.filter(|i| self.nodes[*i].name() == name).collect(),
+            Hits::Rack(rack) => all.filter(|i| self.nodes[*i].read(|m| m.spec().rack) == *rack).collect(),
+            Hits::Controller(_) => Vec::new(),
+            Hits::Share(share) => {
+                let count = ((self.nodes.len() as f64 * share).round() as usize).max(1);
+                let mut all: Vec<usize> = all.collect();
+                rng.shuffle(&mut all);
+                all.truncate(count);
+                all
+            }
+        }
+    }
+}
+
+fn facts(config: &Config) -> ClassFacts {
+    let repeat = |r: Repeat| match r {
+        Repeat::Safe => node::Repeat::Safe,
+        Repeat::Keyed { .. } => node::Repeat::Keyed,
+        Repeat::Unsafe => node::Repeat::Unsafe,
+    };
+    let classes = config.classes.iter().zip(&config.module.classes);
+    ClassFacts {
+        classes: classes.map(|(n, c)| (n.clone(), (c.deadline, Some(repeat(c.repeat))))).collect(),
+        default: config.classes[usize::from(config.default_class)].clone(),
+    }
+}
+
+fn figures(config: &Config, stall: u64) -> Figures {
+    let m = &config.module;
+    let place = |spread: Spread| match spread {
+        Spread::Off => Place::Off,
+        Spread::Machine => Place::Node,
+        Spread::Rack => Place::Rack,
+        Spread::Zone => Place::Zone,
+    };
+    let class = |c: &peppercove::Class| {
+        let (group, window) = match c.repeat {
+            Repeat::Keyed { group: Group::Rack, window } => (Place::Rack, window),
+            Repeat::Keyed { group: Group::Zone, window } => (Place::Zone, window),
+            Repeat::Keyed { group: Group::All, window } => (Place::Off, window),
+            Repeat::Safe | Repeat::Unsafe => (Place::Off, u64::MAX / 4),
+        };
+        ClassFigures { spread: place(c.spread), most: c.most, group, window }
+    };
+    Figures {
+        classes: m.classes.iter().map(class).collect(),
+        drain_grace: m.drain_grace,
+        warm_within: m.warm_within,
+        cold_bears: m.cold_bears as u64,
+        fall_window: m.fall_window,
+        settle: m.settle,
+        stall,
+    }
+}
+
+async fn run(script: &Script, seed: u64, records: Records) -> Result<Report, PlayError> {
+    let stage = Rc::new(Stage::build(script, seed, &records).await?);
+    stage.ready().await;
+    let stall = Rc::new(Cell::new(0));
+    spawn_local(watch_stalls(stall.clone()));
+    let begin = Instant::now();
+    let end = begin + script.length;
+    let addresses: Vec<SocketAddrV4> = stage.seats.iter().map(|s| s.tap.address()).collect();
+    let safe = |c: &peppercove::Class| ClassFact {
+        safe: c.repeat == Repeat::Safe,
+        deadline: Duration::from_micros(c.deadline),
+    };
+    let classes = script.config.classes.iter().zip(&script.config.module.classes);
+    let classes: BTreeMap<String, ClassFact> = classes.map(|(n, c)| (n.clone(), safe(c))).collect();
+    let settle = Duration::from_micros(script.config.module.settle);
+    let owners = Rc::new(Owners::open(&addresses, &classes, settle, end, seed));
+    let mut faults = Vec::new();
+    for (i, fault) in script.faults.iter().enumerate() {
+        let rng = fastrand::Rng::with_seed(seed ^ 0xfau64 ^ (i as u64) << 16);
+        faults.push(spawn_local(cause(stage.clone(), fault.clone(), begin, rng)));
+    }
+    for (i, _) in script.loads.iter().enumerate() {
+        spawn_local(arrive(stage.clone(), owners.clone(), script.clone(), i, begin, end, seed));
+    }
+    spawn_local(arrive_stated(owners.clone(), script.jobs.clone(), begin));
+    sleep_until(end).await;
+    for fault in faults {
+        if (fault.await).is_err() {
+            return Err(io::Error::other("a fault of the script failed").into());
+        }
+    }
+    let last = Instant::now() + script.after;
+    while owners.open_asks() > 0 && Instant::now() < last {
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(report(script, seed, &stage, &owners, stall.get()))
+}
+
+fn report(script: &Script, seed: u64, stage: &Stage, owners: &Owners, stall: u64) -> Report {
+    let rack =
+        |name: &str| stage.nodes.iter().find(|n| n.name() == name).map_or(0, |n| n.read(|m| m.spec().rack));
+    let ledger = stage.shared.ledger.borrow();
+    let starts: Vec<Started> = ledger
+        .starts
+        .iter()
+        .map(|s| Started {
+            at: s.at,
+            ended: s.ended,
+            completed: s.completed,
+            node: s.node.clone(),
+            rack: rack(&s.node),
+            task: s.task,
+            repeat: s.repeat,
+        })
+        .collect();
+    let mut verdict = judge(&stage.book.take(), &starts, &figures(&script.config, stall));
+    for (at, node) in &ledger.fallen {
+        let what = format!("{node} fell over");
+        verdict.breaches.push(peppercove_audit::Breach { at: *at, rule: 4, what });
+    }
+    let mut counters = Counters::default();
+    for seat in &stage.seats {
+        let now = seat.running.borrow().as_ref().map(|c| c.status().counters);
+        for c in seat.counted.borrow().iter().copied().chain(now) {
+            counters = counters.plus(&c);
+        }
+    }
+    let tally = owners.tally.borrow();
+    let Tally { answers, delays, jobs, again, turned_away } = &*tally;
+    let delays = delays.iter().map(|(class, h)| {
+        let at = |q| h.value_at_quantile(q);
+        (class.clone(), Delays { count: h.len(), p50: at(0.5), p99: at(0.99), max: h.max() })
+    });
+    Report {
+        day: script.name.clone(),
+        seed,
+        controllers: script.controllers,
+        nodes: script.nodes.len(),
+        jobs: *jobs,
+        again: *again,
+        answers: answers.iter().map(|((class, answer), n)| (format!("{class} {answer}"), *n)).collect(),
+        turned_away: turned_away.clone(),
+        delays: delays.collect(),
+        verdict,
+        counters,
+        stall,
+        unanswered: owners.open_asks(),
+    }
+}
+
+/// How long this thread was away at the longest: nothing in the run can be more punctual than that.
+async fn watch_stalls(worst: Rc<Cell<u64>>) {
+    let step = Duration::from_millis(2);
+    loop {
+        let due = Instant::now() + step;
+        sleep_until(due).await;
+        worst.set(worst.get().max(due.elapsed().as_micros() as u64));
+    }
+}
+
+async fn arrive(
+    stage: Rc<Stage>, owners: Rc<Owners>, script: Script, index: usize, begin: Instant, end: Instant,
+    seed: u64,
+) {
+    let load = &script.loads[index];
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x10adu64 ^ (index as u64) << 24);
+    let mut at = begin;
+    let mut number = 0u64;
+    loop {
+        let rate = load.rate * stage.rate.get();
+        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
+        if at >= end {
+            return;
+        }
+        sleep_until(at).await;
+        number += 1;
+        let controller = rng.usize(0..owners.desks.len());
+        let life = load.life.mul_f64(0.3 - 0.7 * (1.0 - rng.f64()).ln());
+        let arrival = Arrival {
+            at: at - begin,
+            class: load.class.clone(),
+            service: format!("{}-{}", load.class, rng.u64(0..load.services)),
+            life,
+            cores: load.cores,
+            memory: load.memory,
+            tenant: load.tenant.clone(),
+            controller,
+        };
+        owners.desks[controller].submit(arrival, (index as u64) << 40 | number);
+    }
+}
+
+async fn arrive_stated(owners: Rc<Owners>, mut jobs: Vec<Arrival>, begin: Instant) {
+    jobs.sort_by_key(|j| j.at);
+    for (i, job) in jobs.into_iter().enumerate() {
+        sleep_until(begin + job.at).await;
+        let desk = owners.desks[job.controller % owners.desks.len()].clone();
+        desk.submit(job, 1 << 56 | i as u64);
+    }
+}
+
+/// Begins a fault at its time and ends it at its end.
+async fn cause(stage: Rc<Stage>, fault: Fault, begin: Instant, mut rng: fastrand::Rng) {
+    sleep_until(begin + fault.at).await;
+    let end = begin + fault.at + fault.lasts;
+    let hit = stage.hit_nodes(&fault.hits, &mut rng);
+    let nodes: Vec<Node> = hit.iter().map(|i| stage.nodes[*i].clone()).collect();
+    let size = fault.size;
+    match fault.kind.as_str() {
+        "list-down" => {
+            stage.list.trouble(|t| t.down = true);
+            sleep_until(end).await;
+            stage.list.trouble(|t| t.down = false);
+        }
+        "list-stale" => {
+            let more = (size * 1e6) as u64;
+            stage.list.trouble(|t| t.late += more);
+            sleep_until(end).await;
+            stage.list.trouble(|t| t.late -= more);
+        }
+        "burst" => {
+            stage.rate.set(stage.rate.get() * size);
+            sleep_until(end).await;
+            stage.rate.set(stage.rate.get() / size);
+        }
+        "controller-killed" => kill_controllers(&stage, &fault, end, &mut rng).await,
+        "client-gone" | "client-flood" | "client-half-line" | "client-nonsense" => {
+            for seat in &stage.seats {
+                let (address, clock, kind) = (seat.tap.address(), stage.clock, fault.kind.clone());
+                spawn_local(async move { misbehave(address, &kind, clock, fault.lasts).await });
+            }
+            sleep_until(end).await;
+        }
+        "rack-cut" => {
+            hit.iter().for_each(|i| stage.taps[*i].set_cut(true));
+            sleep_until(end).await;
+            hit.iter().for_each(|i| stage.taps[*i].set_cut(false));
+        }
+        "cut" | "cut-midframe" => nodes.iter().for_each(|n| n.cut(fault.kind == "cut-midframe")),
+        "flush" => nodes.iter().for_each(|n| n.flush(size)),
+        "dies" => {
+            nodes.iter().for_each(Node::kill);
+            // The list hears of it late; a dead node stays away.
+            nodes.iter().for_each(|n| stage.list.change(n.name(), NodeState::Gone));
+        }
+        "restarts" => {
+            nodes.iter().for_each(Node::kill);
+            sleep_until(end).await;
+            for node in &nodes {
+                node.restart();
+                stage.list.change(node.name(), NodeState::Ready);
+            }
+        }
+        "drains" => {
+            for node in &nodes {
+                stage.list.change(node.name(), NodeState::Draining);
+                node.drain();
+            }
+            sleep_until(end).await;
+            for node in &nodes {
+                node.kill();
+                stage.list.change(node.name(), NodeState::Gone);
+            }
+        }
+        kind => {
+            let set = |on: bool| {
+                for node in &nodes {
+                    node.fault(|f| match kind {
+                        "hang" => f.hangs = on,
+                        "answers-lost" => f.loses = if on { size } else { 0.0 },
+                        "never-confirms" => f.never_confirms = on,
+                        "class-error" | "class-silence" if on => {
+                            let how =
+                                if kind == "class-error" { ClassFault::Error } else { ClassFault::Silence };
+                            f.fails.insert(fault.class, how);
+                        }
+                        "class-error" | "class-silence" => {
+                            f.fails.remove(&fault.class);
+                        }
+                        "false-refusals" => f.refuses = if on { size } else { 0.0 },
+                        "ageing" => f.ages = if on { size } else { 0.0 },
+                        "reports-late" => f.late = if on { (size * 1e6) as u64 } else { 0 },
+                        "neighbour" => f.neighbour = if on { size } else { 0.0 },
+                        "repeats" => f.repeats = on,
+                        "lies" => f.lies = on,
+                        other => unreachable!("the table of a day has no fault '{other}'"),
+                    });
+                }
+            };
+            set(true);
+            sleep_until(end).await;
+            set(false);
+        }
+    }
+}
+
+async fn kill_controllers(stage: &Stage, fault: &Fault, end: Instant, rng: &mut fastrand::Rng) {
+    let mut all: Vec<usize> = (0..stage.seats.len()).collect();
+    match fault.hits {
+        Hits::Controller(i) => all.retain(|s| *s == i),
+        Hits::Share(share) => {
+            rng.shuffle(&mut all);
+            all.truncate(((stage.seats.len() as f64 * share).round() as usize).max(1));
+        }
+        Hits::Node(_) | Hits::Rack(_) => all.clear(),
+    }
+    all.iter().for_each(|i| stage.seats[*i].kill(&stage.book));
+    sleep_until(end).await;
+    for i in all {
+        if let Err(error) = stage.seats[i].start().await {
+            tracing::error!(%error, "a killed controller did not come back");
+        }
+    }
+}
--- /dev/null
+++ b/crates/day/src/script.rs
@@ -0,0 +1,450 @@
+//! A day as a file: the fleet, the load, and the faults over time.
+
+use peppercove_config::schema::{Attribute, Document, Element, Kind, Often, Problem};
+use peppercove_config::{Config, ConfigError, embedded_default};
+use peppercove_standins::model::{Evicts, Spec};
+use std::path::Path;
+use std::time::Duration;
+
+const fn attribute(
+    name: &'static str, kind: Kind, default: Option<&'static str>, about: &'static str,
+) -> Attribute {
+    Attribute { name, kind, default, about }
+}
+
+const SHARE: Kind = Kind::Number(0.0, 1.0);
+const POSITIVE: Kind = Kind::Number(1e-9, f64::MAX);
+
+/// Kinds of faults.
+const FAULTS: &[&str] = &[
+    "hang",
+    "answers-lost",
+    "never-confirms",
+    "class-error",
+    "class-silence",
+    "false-refusals",
+    "ageing",
+    "reports-late",
+    "neighbour",
+    "repeats",
+    "lies",
+    "dies",
+    "restarts",
+    "drains",
+    "flush",
+    "cut",
+    "cut-midframe",
+    "rack-cut",
+    "list-down",
+    "list-stale",
+    "controller-killed",
+    "burst",
+    "client-gone",
+    "client-flood",
+    "client-half-line",
+    "client-nonsense",
+];
+
+/// The table of a day.
+pub static DAY: Element = Element {
+    name: "day",
+    often: Often::Once,
+    about: "A scripted day on loopback sockets.",
+    attributes: &[
+        attribute("name", Kind::Name, None, "Its name."),
+        attribute("length", Kind::Span, None, "How long jobs are submitted."),
+        attribute(
+            "after",
+            Kind::Span,
+            Some("10s"),
+            "How long the day goes on at most until all is answered.",
+        ),
+        attribute("seed", Kind::Count(0, u64::MAX), Some("1"), "Seed of all that is drawn."),
+        attribute(
+            "settings",
+            Kind::Text,
+            Some(""),
+            "Settings file of the controllers, beside the day; the embedded default where left out.",
+        ),
+    ],
+    children: &[
+        Element {
+            name: "fleet",
+            often: Often::Once,
+            about: "Controllers, nodes and the node list.",
+            attributes: &[
+                attribute("controllers", Kind::Count(1, 1000), Some("2"), "Controllers."),
+                attribute("list-late", Kind::Span, Some("300ms"), "How late the list tells changes."),
+                attribute("list-refresh", Kind::Span, Some("500ms"), "How often it looks at free room."),
+            ],
+            children: &[Element {
+                name: "nodes",
+                often: Often::Some,
+                about: "Nodes of one kind.",
+                attributes: &[
+                    attribute("count", Kind::Count(1, 10_000), None, "How many."),
+                    attribute("kind", Kind::Name, None, "Their kind, by its name in the settings."),
+                    attribute("racks", Kind::Count(1, 10_000), Some("2"), "Over so many racks, in turn."),
+                    attribute("first-rack", Kind::Count(0, 60_000), Some("0"), "Number of the first."),
+                    attribute("admit", Kind::Span, Some("3ms"), "Time to look at one offer."),
+                    attribute("line", Kind::Count(1, 10_000), Some("16"), "Offers that may wait."),
+                    attribute("starts", Kind::Count(1, 1000), Some("4"), "Tasks started at a time."),
+                    attribute(
+                        "start",
+                        Kind::Span,
+                        Some("30ms"),
+                        "Time of a start where the program is kept.",
+                    ),
+                    attribute("setup", POSITIVE, Some("6"), "Times longer where it is not."),
+                    attribute("kept", Kind::Count(0, 1000), Some("8"), "Programs kept."),
+                    attribute("cold-from", SHARE, Some("0.16"), "Share of the pace just after a start."),
+                    attribute("cold-for", Kind::Span, Some("8s"), "Warm after this."),
+                    attribute("report-every", Kind::Span, Some("200ms"), "How often load is measured."),
+                    attribute("report-late", Kind::Span, Some("100ms"), "How late it is told."),
+                    attribute(
+                        "uses-least",
+                        SHARE,
+                        Some("0.4"),
+                        "Share of its ask that a task uses, at least.",
+                    ),
+                    attribute("uses-most", Kind::Number(0.0, 10.0), Some("0.9"), "And at most."),
+                    attribute(
+                        "drain",
+                        Kind::Choice(&["none", "paced", "at-once"]),
+                        Some("at-once"),
+                        "What a draining node does with its tasks.",
+                    ),
+                ],
+                children: &[],
+            }],
+        },
+        Element {
+            name: "load",
+            often: Often::Any,
+            about: "Jobs of one class, submitted at random times.",
+            attributes: &[
+                attribute("class", Kind::Name, None, "Their class."),
+                attribute("rate", POSITIVE, None, "New jobs a second, over all controllers."),
+                attribute("life", Kind::Span, Some("2s"), "How long one runs, in the mean."),
+                attribute("services", Kind::Count(1, 100_000), Some("4"), "Over so many services."),
+                attribute("cores", POSITIVE, Some(""), "Cores a job; that of its class where left out."),
+                attribute("memory", POSITIVE, Some(""), "Memory a job."),
+                attribute("tenant", Kind::Name, Some(""), "Their tenant."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "job",
+            often: Often::Any,
+            about: "One job at a stated time, as a recording has it.",
+            attributes: &[
+                attribute("at", Kind::Span, None, "When."),
+                attribute("class", Kind::Name, None, "Its class."),
+                attribute("service", Kind::Name, None, "Its service."),
+                attribute("life", Kind::Span, Some("2s"), "How long it runs."),
+                attribute("cores", POSITIVE, Some(""), "Cores."),
+                attribute("memory", POSITIVE, Some(""), "Memory."),
+                attribute("controller", Kind::Count(0, 1000), Some("0"), "Which controller it goes to."),
+            ],
+            children: &[],
+        },
+        Element {
+            name: "fault",
+            often: Often::Any,
+            about: "Something that goes wrong.",
+            attributes: &[
+                attribute("kind", Kind::Choice(FAULTS), None, "What."),
+                attribute("at", Kind::Span, None, "When it begins."),
+                attribute("for", Kind::Span, Some("2s"), "How long it lasts."),
+                attribute(
+                    "share",
+                    SHARE,
+                    Some("0"),
+                    "Of the nodes or controllers, drawn at random; at least one.",
+                ),
+                attribute("node", Kind::Name, Some(""), "Or this node: n0, n1 and so on."),
+                attribute("rack", Kind::Count(0, 60_000), Some(""), "Or the nodes of this rack."),
+                attribute("controller", Kind::Count(0, 1000), Some(""), "Or this controller."),
+                attribute("class", Kind::Name, Some(""), "The class that fails."),
+                attribute(
+                    "size",
+                    Kind::Number(0.0, 1e6),
+                    Some("1"),
+                    "How bad: a share, a multiple, or seconds, as the kind says.",
+                ),
+            ],
+            children: &[],
+        },
+    ],
+};
+
+/// Jobs of one class at random times.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Name of the class.
+    pub class: String,
+    /// New jobs a second.
+    pub rate: f64,
+    /// How long one runs, in the mean.
+    pub life: Duration,
+    /// Over so many services.
+    pub services: u64,
+    /// Cores a job.
+    pub cores: Option<f64>,
+    /// Memory a job.
+    pub memory: Option<f64>,
+    /// Name of the tenant.
+    pub tenant: Option<String>,
+}
+
+/// One job at a stated time.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When, from the beginning of the day.
+    pub at: Duration,
+    /// Name of the class.
+    pub class: String,
+    /// Name of the service.
+    pub service: String,
+    /// How long it runs.
+    pub life: Duration,
+    /// Cores.
+    pub cores: Option<f64>,
+    /// Memory.
+    pub memory: Option<f64>,
+    /// Name of the tenant.
+    pub tenant: Option<String>,
+    /// Which controller it goes to.
+    pub controller: usize,
+}
+
+/// Which nodes or controllers a fault hits.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Hits {
+    /// A share of all, at least one.
+    Share(f64),
+    /// The node of that name.
+    Node(String),
+    /// The nodes of a rack.
+    Rack(u16),
+    /// A controller.
+    Controller(usize),
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    /// What.
+    pub kind: String,
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// Whom it hits.
+    pub hits: Hits,
+    /// Index of the class that fails.
+    pub class: u16,
+    /// How bad.
+    pub size: f64,
+}
+
+/// A day, read and checked.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// Its name.
+    pub name: String,
+    /// How long jobs are submitted.
+    pub length: Duration,
+    /// How long it goes on at most until all is answered.
+    pub after: Duration,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// Settings of the controllers, but for names, numbers and sockets.
+    pub config: Config,
+    /// Controllers.
+    pub controllers: usize,
+    /// How late the list is.
+    pub list_late: Duration,
+    /// How often it looks at free room.
+    pub list_refresh: Duration,
+    /// The nodes.
+    pub nodes: Vec<Spec>,
+    /// The load.
+    pub loads: Vec<Load>,
+    /// Jobs at stated times.
+    pub jobs: Vec<Arrival>,
+    /// The faults.
+    pub faults: Vec<Fault>,
+}
+
+/// Why a day could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ScriptError {
+    /// The day itself is wrong.
+    #[error("{0}")]
+    Day(#[from] ConfigError),
+    /// Its settings file cannot be read.
+    #[error("settings {path}: {source}")]
+    Read {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Its settings are wrong.
+    #[error("settings {path}:\n{source}")]
+    Settings {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What is wrong.
+        source: ConfigError,
+    },
+}
+
+impl Script {
+    /// Reads a day; `folder` is where its settings file is looked for.
+    ///
+    /// # Errors
+    /// [`ScriptError`] names the file, line, column and element.
+    pub fn parse(text: &str, folder: &Path) -> Result<Script, ScriptError> {
+        let day = Document::parse(text, &DAY)?;
+        let config = match day.text("settings") {
+            None => Config::parse(embedded_default())
+                .map_err(|source| ScriptError::Settings { path: "embedded default".into(), source })?,
+            Some(file) => {
+                let path = folder.join(file);
+                let text = std::fs::read_to_string(&path)
+                    .map_err(|source| ScriptError::Read { path: path.clone(), source })?;
+                Config::parse(&text).map_err(|source| ScriptError::Settings { path, source })?
+            }
+        };
+        let mut problems = Vec::new();
+        let script = read(&day, config, &mut problems);
+        if problems.is_empty() { Ok(script) } else { Err(ConfigError { problems }.into()) }
+    }
+}
+
+fn read(day: &Document, config: Config, problems: &mut Vec<Problem>) -> Script {
+    let fleet = day.child("fleet");
+    let controllers = fleet.count("controllers") as usize;
+    let class = |d: &Document, problems: &mut Vec<Problem>| {
+        let name = d.word("class").to_owned();
+        let index = config.classes.iter().position(|c| *c == name);
+        if index.is_none() && !name.is_empty() {
+            problems.push(d.problem(format!("class=\"{name}\" is no class of the settings")));
+        }
+        (name, index.unwrap_or(0) as u16)
+    };
+    let number = |d: &Document, name: &str| d.text(name).and_then(|t| t.parse::<f64>().ok());
+    let mut nodes = Vec::new();
+    for group in fleet.children("nodes") {
+        let kind = config.kinds.iter().position(|k| k == group.word("kind"));
+        let Some(kind) = kind else {
+            problems
+                .push(group.problem(format!("kind=\"{}\" is no kind of the settings", group.word("kind"))));
+            continue;
+        };
+        for i in 0..group.count("count") {
+            nodes.push(node(group, &config, kind, nodes.len(), i));
+        }
+    }
+    let loads = day
+        .children("load")
+        .iter()
+        .map(|l| Load {
+            class: class(l, problems).0,
+            rate: l.number("rate"),
+            life: l.span("life"),
+            services: l.count("services"),
+            cores: number(l, "cores"),
+            memory: number(l, "memory"),
+            tenant: l.text("tenant").map(str::to_owned),
+        })
+        .collect();
+    let jobs = day
+        .children("job")
+        .iter()
+        .map(|j| Arrival {
+            at: j.span("at"),
+            class: class(j, problems).0,
+            service: j.word("service").into(),
+            life: j.span("life"),
+            cores: number(j, "cores"),
+            memory: number(j, "memory"),
+            tenant: None,
+            controller: j.count("controller") as usize % controllers,
+        })
+        .collect();
+    let faults = day
+        .children("fault")
+        .iter()
+        .map(|f| {
+            let hits = match (f.text("node"), f.text("rack"), f.text("controller")) {
+                (Some(node), ..) => {
+                    if !nodes.iter().any(|n| n.name == node) {
+                        problems.push(f.problem(format!("there is no node '{node}'")));
+                    }
+                    Hits::Node(node.into())
+                }
+                (_, Some(_), _) => Hits::Rack(f.count("rack") as u16),
+                (_, _, Some(_)) => Hits::Controller(f.count("controller") as usize % controllers),
+                _ => Hits::Share(f.number("share")),
+            };
+            let (kind, class) = (f.word("kind").to_owned(), class(f, problems).1);
+            if kind.starts_with("class-") && f.text("class").is_none() {
+                problems.push(f.problem("class is missing: the one that fails"));
+            }
+            Fault { kind, at: f.span("at"), lasts: f.span("for"), hits, class, size: f.number("size") }
+        })
+        .collect();
+    Script {
+        name: day.word("name").into(),
+        length: day.span("length"),
+        after: day.span("after"),
+        seed: day.count("seed"),
+        controllers,
+        list_late: fleet.span("list-late"),
+        list_refresh: fleet.span("list-refresh"),
+        nodes,
+        loads,
+        jobs,
+        faults,
+        config,
+    }
+}
+
+fn node(group: &Document, config: &Config, kind: usize, number: usize, i: u64) -> Spec {
+    let module = &config.module;
+    Spec {
+        name: format!("n{number}"),
+        kind: kind as u8,
+        rack: (group.count("first-rack") + i % group.count("racks")) as u16,
+        zone: 0,
+        cores: module.kinds[kind].cores,
+        memory: module.kinds[kind].memory,
+        accepts_cores: module.accepts_cores,
+        accepts_memory: module.accepts_memory,
+        preempts: module.preempts,
+        admit: group.micros("admit"),
+        line: group.count("line") as usize,
+        starts: group.count("starts") as usize,
+        start_time: group.micros("start"),
+        setup: group.number("setup"),
+        kept: group.count("kept") as usize,
+        cold_from: group.number("cold-from"),
+        cold_for: group.micros("cold-for"),
+        fall_multiple: module.fall_multiple,
+        fall_window: module.fall_window,
+        cold_bears: module.cold_bears,
+        report_every: group.micros("report-every"),
+        report_delay: group.micros("report-late"),
+        counts_used: module.report_counts == peppercove::ReportCounts::Used,
+        uses: (group.number("uses-least"), group.number("uses-most")),
+        drain: match group.word("drain") {
+            "none" => Evicts::None,
+            "paced" => Evicts::Paced(200_000),
+            _ => Evicts::AtOnce,
+        },
+        life: 2_000_000,
+    }
+}
--- /dev/null
+++ b/crates/libdrmaa/src/lib.rs
@@ -0,0 +1,1 @@
+//! The C binding of DRMAA 1.0.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,18 @@
+//! What crosses the sockets: frames between controller, nodes and node list, and the JSON-RPC of submission.
+//!
+//! This package knows layouts and limits. It opens no socket, keeps no state of a scheduler and decides nothing,
+//! so that the audit can share it with the controller without sharing anything else.
+//!
+//! Links to nodes and to the node list carry length-delimited frames ([`codec`]): four bytes of length, big
+//! endian, then one message in the postcard encoding. The first message each way is a greeting with a version.
+//! Clients speak JSON-RPC 2.0, one object a line ([`rpc`]), whose methods carry the names of DRMAA 1.0.
+
+pub mod codec;
+pub mod drmaa;
+pub mod list;
+pub mod native;
+pub mod node;
+pub mod rpc;
+
+/// Version of the frames that this build speaks; both ends must name the same one.
+pub const VERSION: u16 = 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! What the decision module is told and what it may do, in the field's own terms. No decision lives here.
 
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// A time or a span in microseconds.
@@ -8,7 +9,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub u64);
     };
 }
@@ -265,7 +266,7 @@
 }
 
 /// What the list says of a machine's life.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MachineState {
     /// Takes tasks.
     Ready,
@@ -277,7 +278,7 @@
 }
 
 /// One line of the machine list.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MachineLine {
     /// The machine.
     pub machine: MachineId,
@@ -298,7 +299,7 @@
 }
 
 /// How a list event relates to the list already held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListScope {
     /// Changed machines alone.
     Delta,
@@ -311,7 +312,7 @@
 }
 
 /// A task to place.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// This ask.
     pub request: RequestId,
@@ -336,7 +337,7 @@
 }
 
 /// A load report of a machine; each value only where the site reports it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Free cores, in the sense of [`Settings::report_counts`].
     pub free_cores: Option<f64>,
@@ -349,7 +350,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The placed task ended.
     Done,
@@ -370,7 +371,7 @@
 }
 
 /// Why a machine refused or gave a task up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Why {
     /// Not told.
     Unknown,
@@ -391,7 +392,7 @@
 }
 
 /// An update on a placed task or its machine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Note {
     /// The task runs.
     Runs,
