--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -111,8 +111,8 @@
 
     fn hear(&mut self, at: Micros, seen: &Seen) {
         match seen {
-            Seen::ToNode { controller, node, message } => self.to_node(at, controller, node, message),
-            Seen::FromNode { controller, node, message } => self.from_node(controller, node, message),
+            Seen::ToNode { controller, node, message } => self.hear_controller(at, controller, node, message),
+            Seen::FromNode { controller, node, message } => self.hear_node(controller, node, message),
             Seen::LinkClosed { controller, node } => {
                 self.links.insert((controller.name.clone(), node.clone()), false);
                 for a in self.attempts.iter_mut().filter(|a| a.controller == *controller && a.node == *node) {
@@ -307,7 +307,7 @@
         (!same).then(|| format!("keyed task {:x} is offered again outside its group", work.task))
     }
 
-    fn to_node(&mut self, at: Micros, controller: &Party, node: &str, message: &ToNode) {
+    fn hear_controller(&mut self, at: Micros, controller: &Party, node: &str, message: &ToNode) {
         match message {
             ToNode::Offer { attempt, expires_in, work } => {
                 self.offered(at, controller, node, *attempt, *expires_in, work);
@@ -337,7 +337,7 @@
         self.attempts.get_mut(i)
     }
 
-    fn from_node(&mut self, controller: &Party, node: &str, message: &FromNode) {
+    fn hear_node(&mut self, controller: &Party, node: &str, message: &FromNode) {
         let (id, stand) = match message {
             FromNode::Running { attempt, .. } => (*attempt, Stand::Runs),
             FromNode::Refused { attempt, .. } => (*attempt, Stand::NeverRan),
--- a/crates/controller/src/link.rs
+++ b/crates/controller/src/link.rs
@@ -167,7 +167,11 @@
         FromNode::Accepted { attempt, load } => (attempt, NodeNews::Accepted, load),
         FromNode::Running { attempt, load } => (attempt, NodeNews::Running, load),
         FromNode::Refused { attempt, reason, load } => (attempt, NodeNews::Refused(why(reason)), load),
-        FromNode::Ended { attempt, end, load } => (attempt, ended(end), load),
+        FromNode::Ended { attempt, end, load } => {
+            // The node keeps an end until it is taken note of; it may have been told on a link that broke.
+            shell.send(node, ToNode::Noted { attempt });
+            (attempt, ended(end), load)
+        }
         FromNode::Note { attempt, note } => (attempt, NodeNews::Note(noted(note)), None),
         FromNode::Probed { load, .. } => {
             shell.input(Input::Probed { node, answered: true, load: load.map(loaded) });
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -202,7 +202,7 @@
     }
 
     /// Queues a message for a node; false where there is no link or its queue is full.
-    fn send(&self, node: MachineId, message: ToNode) -> bool {
+    pub(crate) fn send(&self, node: MachineId, message: ToNode) -> bool {
         let links = self.links.borrow();
         let queue = links.get(&node).and_then(|l| l.queue.as_ref());
         queue.is_some_and(|q| q.try_send(message).is_ok())
--- a/crates/controller/src/template.rs
+++ b/crates/controller/src/template.rs
@@ -299,7 +299,8 @@
 
     #[test]
     fn what_is_wrong_is_named() {
-        let cases: &[(&[(&str, &str)], Errno, &str)] = &[
+        type Case<'a> = (&'a [(&'a str, &'a str)], Errno, &'a str);
+        let cases: &[Case<'_>] = &[
             (&[], Errno::InvalidAttributeValue, "drmaa_remote_command"),
             (&[("drmaa_js_state", "maybe")], Errno::InvalidAttributeValue, "neither drmaa_active"),
             (&[("drmaa_colour", "red")], Errno::InvalidArgument, "no such attribute"),
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -288,7 +288,7 @@
         /// The ask in this life; its attempt is 0.
         request: RequestId,
     },
-    /// Stop a standing task of an earlier life, which nobody knows.
+    /// Stop a standing task of an earlier life that nobody knows, or take note of its end.
     StopStanding {
         /// The node.
         node: MachineId,
@@ -1027,7 +1027,7 @@
     fn end_placed(&mut self, at: Trace, outcome: Outcome, end: End, why: Why, load: Option<Load>) {
         let Trace { node, request, attempt } = at;
         let Some(ask) = self.asks.get_mut(&request) else { return };
-        let job = ask.job;
+        let (job, task, class) = (ask.job, ask.request.task, ask.request.class);
         if let Some(a) = ask.attempts.get_mut(usize::from(attempt)) {
             a.ended = Some(outcome);
         }
@@ -1042,6 +1042,9 @@
                 j.end = Some(end);
             }
             let done = matches!(end, End::Exited { .. } | End::Signalled { .. });
+            if done && self.class(class).is_some_and(|c| c.repeat == Repeat::Unsafe) {
+                self.fates.ran(self.now, task);
+            }
             self.finish(job, if done { JobState::Done } else { JobState::Failed });
         }
         self.let_go(node);
@@ -1059,6 +1062,7 @@
             return;
         }
         match news {
+            NodeNews::Running if self.waits_for(at) => self.found_running(at),
             NodeNews::Running => match self.fates.runs(self.now, at) {
                 StrayCopy::Kept => {}
                 StrayCopy::Unwanted | StrayCopy::NotInDoubt => self.stop_stray(at),
@@ -1069,6 +1073,21 @@
         }
     }
 
+    /// The attempt was given up or its link broke, and its ask still waits for a placing.
+    fn waits_for(&self, at: Trace) -> bool {
+        let ask = self.asks.get(&at.request).filter(|a| a.life == Life::Waiting);
+        let attempt = ask.and_then(|a| a.attempts.get(usize::from(at.attempt)));
+        attempt.is_some_and(|a| a.node == at.node && a.ended.is_some())
+    }
+
+    /// What the ask waits for runs after all: the module is told of a standing task in place of the ask, so that
+    /// nothing more is offered, and the copy is not wasted.
+    fn found_running(&mut self, at: Trace) {
+        let Some(job) = self.asks.get(&at.request).map(|a| a.job) else { return };
+        self.call_off(at.request);
+        self.take_over(job, at);
+    }
+
     fn stop_stray(&mut self, at: Trace) {
         self.counters.strays += 1;
         self.out.push(act(at, Control::Terminate));
@@ -1101,6 +1120,7 @@
         for s in standing {
             if s.life == self.limits.life {
                 let at = trace(&s);
+                // Its attempt ended with the link; if it still counts, the ask is open and takes it back.
                 if self.asks.get(&at.request).and_then(placed_at) != Some(at) && !self.out_at(at) {
                     self.on_news_out_of_place(at, &NodeNews::Running);
                 }
@@ -1118,10 +1138,10 @@
         let ran = matches!(end, End::Exited { .. } | End::Signalled { .. });
         let once = self.class(s.submission.class).is_some_and(|c| c.repeat == Repeat::Unsafe);
         if once && ran {
-            let trace = Trace { node, request: self.new_request(), attempt: 0 };
-            self.fates.doubt(self.now, s.submission.task, trace, false);
-            self.fates.over(self.now, trace);
+            self.fates.ran(self.now, s.submission.task);
         }
+        let (life, was, attempt) = (s.life, s.request, s.attempt);
+        self.out.push(Output::StopStanding { node, life, was, attempt });
         let known = self.jobs.by_key(&s.submission.session, &s.submission.key).is_some();
         if known || self.jobs.by_task(s.submission.task).is_some() || !self.jobs.has_room() {
             return;
--- a/crates/core/src/fates.rs
+++ b/crates/core/src/fates.rs
@@ -8,7 +8,7 @@
 
 use peppercove::{MachineId, Micros, RequestId, TaskKey};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// An attempt at a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -57,20 +57,23 @@
 }
 
 /// The table of fates.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Fates {
     settle: Micros,
     memory: Micros,
     most: usize,
     tasks: BTreeMap<TaskKey, (Trace, Fate, Micros)>,
     traces: BTreeMap<Trace, TaskKey>,
+    /// Tasks that ran to their end, and when; the oldest are forgotten.
+    ran: BTreeMap<TaskKey, Micros>,
+    ran_order: VecDeque<(Micros, TaskKey)>,
 }
 
 impl Fates {
     /// A table that advises to come again after `settle`, keeps what it was told for `memory` and holds at most
     /// `most` tasks.
     pub fn new(settle: Micros, memory: Micros, most: usize) -> Fates {
-        Fates { settle, memory, most, tasks: BTreeMap::new(), traces: BTreeMap::new() }
+        Fates { settle, memory, most, ..Fates::default() }
     }
 
     /// Tasks in the table.
@@ -99,6 +102,7 @@
     /// What a new ask for the task may do.
     pub fn ask(&self, task: TaskKey) -> Verdict {
         match self.tasks.get(&task) {
+            None if self.ran.contains_key(&task) => Verdict::Never,
             None => Verdict::Free,
             Some((_, Fate::Unknown { .. }, _)) => Verdict::Later(self.settle),
             Some((trace, Fate::Runs { .. }, _)) => Verdict::TakeOver(*trace),
@@ -106,6 +110,23 @@
         }
     }
 
+    /// The task ran to its end. Its owner may not have heard, when its controller or its link died meanwhile.
+    pub fn ran(&mut self, now: Micros, task: TaskKey) {
+        self.ran.insert(task, now);
+        self.ran_order.push_back((now, task));
+        while self.ran_order.len() > self.most {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((at, task)) = self.ran_order.pop_front()
+            && self.ran.get(&task) == Some(&at)
+        {
+            self.ran.remove(&task);
+        }
+    }
+
     /// The node proves that the attempt never ran.
     pub fn never_ran(&mut self, trace: Trace) {
         if let Some(task) = self.traces.remove(&trace) {
@@ -160,6 +181,9 @@
     /// Copies that nobody asked for again in time, to be stopped now; what is old is forgotten.
     pub fn due(&mut self, now: Micros) -> Vec<Trace> {
         let memory = self.memory;
+        while self.ran_order.front().is_some_and(|(at, _)| at.saturating_add(memory) <= now) {
+            self.forget_oldest();
+        }
         let mut stop = Vec::new();
         for (trace, fate, since) in self.tasks.values_mut() {
             if matches!(fate, Fate::Runs { stop_at } if *stop_at <= now) {
@@ -247,6 +271,19 @@
         assert_eq!(fates.ask(TASK), Verdict::Never);
     }
 
+    #[test]
+    fn a_task_that_ran_is_not_started_again_until_it_is_forgotten() {
+        let mut fates = Fates::new(3_000_000, 60_000_000, 2);
+        fates.ran(5, TASK);
+        assert_eq!(fates.ask(TASK), Verdict::Never);
+        fates.ran(6, TaskKey(6));
+        fates.ran(7, TaskKey(7));
+        assert_eq!(fates.ask(TASK), Verdict::Free, "bounded: the oldest makes room");
+        fates.due(60_000_006);
+        assert_eq!(fates.ask(TaskKey(6)), Verdict::Free);
+        assert_eq!(fates.ask(TaskKey(7)), Verdict::Never);
+    }
+
     #[test]
     fn the_table_says_when_it_is_full() {
         let mut fates = doubtful();
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -4,7 +4,7 @@
 use crate::script::{Arrival, Fault, Hits, Script};
 use crate::tap::{Book, ClassFacts, Line, Tap};
 use peppercove::{Group, Repeat, Spread};
-use peppercove_audit::{ClassFigures, Figures, Place, Seen, Started, Verdict, judge};
+use peppercove_audit::{ClassFigures, Event, Figures, Place, Seen, Started, Verdict, judge};
 use peppercove_config::Config;
 use peppercove_controller::{Controller, StartError};
 use peppercove_core::Counters;
@@ -17,7 +17,7 @@
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -282,10 +282,25 @@
     while owners.open_asks() > 0 && Instant::now() < last {
         sleep(Duration::from_millis(20)).await;
     }
-    Ok(report(script, seed, &stage, &owners, stall.get()))
+    let events = stage.book.take();
+    if let Some(folder) = &records {
+        write_taps(&folder.join(format!("taps-{}-{seed}.txt", script.name)), &events)?;
+    }
+    Ok(report(script, seed, &stage, &owners, &events, stall.get()))
+}
+
+/// What the taps saw, a line each, for people who look into a breach.
+fn write_taps(file: &std::path::Path, events: &[Event]) -> io::Result<()> {
+    let mut out = io::BufWriter::new(std::fs::File::create(file)?);
+    for event in events {
+        writeln!(out, "{:.6} {:?}", event.at as f64 / 1e6, event.seen)?;
+    }
+    out.flush()
 }
 
-fn report(script: &Script, seed: u64, stage: &Stage, owners: &Owners, stall: u64) -> Report {
+fn report(
+    script: &Script, seed: u64, stage: &Stage, owners: &Owners, events: &[Event], stall: u64,
+) -> Report {
     let rack =
         |name: &str| stage.nodes.iter().find(|n| n.name() == name).map_or(0, |n| n.read(|m| m.spec().rack));
     let ledger = stage.shared.ledger.borrow();
@@ -302,7 +317,7 @@
             repeat: s.repeat,
         })
         .collect();
-    let mut verdict = judge(&stage.book.take(), &starts, &figures(&script.config, stall));
+    let mut verdict = judge(events, &starts, &figures(&script.config, stall));
     for (at, node) in &ledger.fallen {
         let what = format!("{node} fell over");
         verdict.breaches.push(peppercove_audit::Breach { at: *at, rule: 4, what });
--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -116,6 +116,11 @@
         /// What to do.
         action: Control,
     },
+    /// The end of an attempt is taken note of: the node may forget it.
+    Noted {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Asks for a load report.
     Probe {
         /// Comes back with the answer.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -225,13 +225,13 @@
     withdrawn: bool,
 }
 
-/// A task that ended while its controller was away.
+/// A task that ended.
 #[derive(Clone, Debug)]
 struct Past {
-    life: u64,
-    attempt: AttemptId,
     work: Work,
     end: End,
+    /// Its controller has taken note of it.
+    noted: bool,
 }
 
 /// A message and the controller that it is for.
@@ -259,12 +259,15 @@
     reports: VecDeque<(Micros, Report)>,
     next_report: Micros,
     connected: BTreeMap<String, u64>,
-    unreported: BTreeMap<String, VecDeque<Past>>,
+    /// What ended and no controller has taken note of; of tasks that must not run twice also what was noted,
+    /// since the controller may have died before its client was told.
+    ended: BTreeMap<Id, Past>,
+    ended_order: VecDeque<Id>,
     held_back: VecDeque<Outgoing>,
     out: Vec<Outgoing>,
 }
 
-/// Ends that could not be told, kept for each controller.
+/// Ends kept that no controller has taken note of.
 const UNREPORTED: usize = 10_000;
 
 impl Model {
@@ -290,7 +293,8 @@
             reports: VecDeque::new(),
             next_report: 0,
             connected: BTreeMap::new(),
-            unreported: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            ended_order: VecDeque::new(),
             held_back: VecDeque::new(),
             out: Vec::new(),
         }
@@ -366,7 +370,8 @@
         self.offers.clear();
         self.reports.clear();
         self.connected.clear();
-        self.unreported.clear();
+        self.ended.clear();
+        self.ended_order.clear();
         self.held_back.clear();
         self.out.clear();
     }
@@ -406,13 +411,15 @@
         };
         let mut standing: Vec<FromNode> = self.tasks.iter().filter_map(held).collect();
         let mut ended = Vec::new();
-        for past in self.unreported.remove(&controller.name).unwrap_or_default() {
-            let Past { life, attempt, work, end } = past;
+        for (id, past) in self.ended.iter().filter(|(id, _)| id.controller == controller.name) {
+            let (life, attempt, end, work) = (id.life, id.attempt, past.end, &past.work);
             if life == controller.life {
-                ended.push(FromNode::Ended { attempt, end, load: None });
+                if !past.noted {
+                    ended.push(FromNode::Ended { attempt, end, load: None });
+                }
             } else {
                 // A new life does not know the attempt, but it must know that the task has run.
-                standing.push(FromNode::Standing { life, attempt, work, ended: Some(end) });
+                standing.push(FromNode::Standing { life, attempt, work: work.clone(), ended: Some(end) });
             }
         }
         let node = Party { name: self.spec.name.clone(), life: self.life };
@@ -498,10 +505,25 @@
         self.settle(now)
     }
 
-    /// A restarted controller ends a task of its earlier life.
+    /// A controller has taken note of an end.
+    pub fn noted(&mut self, from: &Party, attempt: AttemptId) {
+        self.forget_end(&Id { controller: from.name.clone(), life: from.life, attempt });
+    }
+
+    fn forget_end(&mut self, id: &Id) {
+        let Some(past) = self.ended.get_mut(id) else { return };
+        past.noted = true;
+        if past.work.repeat != Repeat::Unsafe {
+            self.ended.remove(id);
+            self.ended_order.retain(|i| i != id);
+        }
+    }
+
+    /// A restarted controller ends a task of its earlier life, or has taken note of its end.
     pub fn discard(&mut self, now: Micros, from: &Party, life: u64, attempt: AttemptId) -> Vec<Outgoing> {
         let id = Id { controller: from.name.clone(), life, attempt };
         self.control_task(now, &id, Control::Terminate);
+        self.forget_end(&id);
         self.settle(now)
     }
 
@@ -817,12 +839,14 @@
         let work = self.tasks.get(id).map(|t| t.work.clone());
         self.remove(now, id);
         let load = self.load(now);
-        if let (None, Some(work)) = (self.connected.get(&id.controller), work) {
-            let kept = self.unreported.entry(id.controller.clone()).or_default();
-            if kept.len() >= UNREPORTED {
-                kept.pop_front();
+        if let Some(work) = work {
+            while self.ended_order.len() >= UNREPORTED {
+                if let Some(oldest) = self.ended_order.pop_front() {
+                    self.ended.remove(&oldest);
+                }
             }
-            kept.push_back(Past { life: id.life, attempt: id.attempt, work, end });
+            self.ended_order.push_back(id.clone());
+            self.ended.insert(id.clone(), Past { work, end, noted: false });
         }
         self.tell(id, FromNode::Ended { attempt: id.attempt, end, load });
     }
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -20,7 +20,7 @@
 
 /// What a connection's writer is told.
 enum Say {
-    Message(FromNode),
+    Message(Box<FromNode>),
     /// Close in the middle of a frame.
     Cut,
 }
@@ -149,7 +149,7 @@
         for (to, message) in out {
             if let Some((_, link)) = state.links.get(&to) {
                 // A controller that does not read loses its own messages.
-                let _ = link.try_send(Say::Message(message));
+                let _ = link.try_send(Say::Message(Box::new(message)));
             }
         }
         if state.model.is_fallen() && !state.dead {
@@ -213,7 +213,7 @@
         }
         let now = inner.clock.now();
         for message in state.model.greet(now, &controller) {
-            let _ = sender.try_send(Say::Message(message));
+            let _ = sender.try_send(Say::Message(Box::new(message)));
         }
         state.links.insert(controller.name.clone(), (controller.life, sender.clone()));
     }
@@ -225,7 +225,7 @@
             },
             say = queue.recv() => match say {
                 Some(Say::Message(message)) => {
-                    if link.send(&message).await.is_err() {
+                    if link.send(&*message).await.is_err() {
                         break;
                     }
                 }
@@ -253,6 +253,10 @@
         ToNode::Offer { attempt, expires_in, work } => model.offer(now, from, attempt, expires_in, work),
         ToNode::Withdraw { attempt } => model.withdraw(now, from, attempt),
         ToNode::Adopt { life, attempt, named } => model.adopt(now, from, life, attempt, named),
+        ToNode::Noted { attempt } => {
+            model.noted(from, attempt);
+            Vec::new()
+        }
         ToNode::Discard { life, attempt } => model.discard(now, from, life, attempt),
         ToNode::Control { attempt, action } => model.control(now, from, attempt, action),
         ToNode::Probe { nonce } => model.probe(now, from, nonce),
