--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -58,6 +58,8 @@
     /// An ask was answered.
     pub(crate) settled: Notify,
     wake: Notify,
+    /// When the core is called next, unless something comes before.
+    armed: Cell<Option<Micros>>,
     tickets: Cell<u64>,
     record: Option<RefCell<BufWriter<File>>>,
     me: RefCell<std::rc::Weak<Shell>>,
@@ -93,6 +95,7 @@
             watch: Notify::new(),
             settled: Notify::new(),
             wake: Notify::new(),
+            armed: Cell::new(None),
             tickets: Cell::new(0),
             record,
             me: RefCell::default(),
@@ -119,7 +122,11 @@
                 self.carry_out(output, &mut inputs, &mut answers);
             }
         }
-        self.wake.notify_one();
+        // A wake that is due later than the one waited for can be set then.
+        let next = self.core.borrow().next_wake();
+        if next.is_some_and(|at| self.armed.get().is_none_or(|armed| at < armed)) {
+            self.wake.notify_one();
+        }
         answers
     }
 
@@ -353,6 +360,7 @@
 pub(crate) async fn keep_time(shell: Rc<Shell>) {
     loop {
         let next = shell.core.borrow().next_wake();
+        shell.armed.set(next);
         let sleep = async {
             match next {
                 Some(at) => tokio::time::sleep_until(shell.clock.instant(at)).await,
@@ -361,6 +369,7 @@
         };
         tokio::select! {
             () = sleep => {
+                shell.armed.set(Some(0));
                 shell.input(Input::Tick);
             }
             () = shell.wake.notified() => {}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -391,6 +391,7 @@
     next_request: u64,
     now: Micros,
     born: Option<Micros>,
+    begun: bool,
     stopping: bool,
     moving: BTreeMap<RequestId, ()>,
     events: Vec<Event>,
@@ -416,6 +417,7 @@
             next_request: 0,
             now: 0,
             born: None,
+            begun: false,
             stopping: false,
             moving: BTreeMap::new(),
             events: Vec::new(),
@@ -472,16 +474,18 @@
         self.born.get_or_insert(self.now);
         self.ring();
         self.take_in(input);
-        // The module is always asked: its own clock moves with every input.
+        // As on the bench's wire, the module is asked where something happened to it, its own timers included. Its
+        // first call is its start.
         let mut rounds = 0;
-        loop {
+        while !self.events.is_empty() || !self.begun {
+            self.begun = true;
             let events = std::mem::take(&mut self.events);
             let actions = self.decider.decide(self.now, &events);
             for action in actions {
                 self.act(action);
             }
             rounds += 1;
-            if self.events.is_empty() || rounds >= MOST_ROUNDS {
+            if rounds >= MOST_ROUNDS {
                 break;
             }
         }
