--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -188,6 +188,27 @@
             ],
             children: &[],
         },
+        Element {
+            name: "peers",
+            often: Often::Maybe,
+            about: "Other controllers that messages may be sent to; none where left out.",
+            attributes: &[attribute(
+                "listen",
+                Kind::Address,
+                Some(""),
+                "Where messages of peers arrive, as datagrams.",
+            )],
+            children: &[Element {
+                name: "peer",
+                often: Often::Any,
+                about: "One peer.",
+                attributes: &[
+                    attribute("number", Kind::Count(0, 65_535), None, "Its number among the controllers."),
+                    attribute("address", Kind::Address, None, "Where it listens for messages."),
+                ],
+                children: &[],
+            }],
+        },
         Element {
             name: "rules",
             often: Often::Maybe,
@@ -435,6 +456,15 @@
     pub retry_most: Duration,
 }
 
+/// Other controllers that messages may be sent to.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    /// Where messages of peers arrive.
+    pub listen: Option<SocketAddr>,
+    /// Number and address of each peer.
+    pub peers: Vec<(u32, SocketAddr)>,
+}
+
 /// Bounds of the daemon. The table tells what each one is.
 #[derive(Clone, Debug)]
 #[allow(missing_docs)]
@@ -478,6 +508,8 @@
     pub record: Option<PathBuf>,
     /// Sockets.
     pub listen: Listen,
+    /// Other controllers.
+    pub peers: Peers,
     /// Bounds.
     pub limits: Limits,
     /// What the decision module is told.
@@ -536,6 +568,10 @@
     let kinds = names(nodes.children("kind"), problems);
     let class_names = names(classes.children("class"), problems);
     let tenant_names = names(tenants.children("tenant"), problems);
+    let peers = d.child("peers");
+    if peers.text("listen").is_none() && !peers.children("peer").is_empty() {
+        problems.push(peers.problem("listen is missing: messages of peers must arrive somewhere"));
+    }
     if controller.count("number") >= controller.count("of") {
         problems.push(controller.problem("number must be below of"));
     }
@@ -576,7 +612,7 @@
         // Never two attempts of a task in flight.
         may_duplicate: false,
         probes: nodes.flag("probes"),
-        peer_messages: false,
+        peer_messages: peers.text("listen").is_some(),
         list_on_request: list.word("mode") == "on-request",
         ask_every: list.micros("ask-every"),
         // The daemon keeps its own reserve ahead of the deadline, so the module is told of no slack after it.
@@ -607,6 +643,14 @@
             retry_least: links.span("retry-least"),
             retry_most: links.span("retry-most").max(links.span("retry-least")),
         },
+        peers: Peers {
+            listen: peers.text("listen").map(|_| peers.address("listen")),
+            peers: peers
+                .children("peer")
+                .iter()
+                .map(|p| (p.count("number") as u32, p.address("address")))
+                .collect(),
+        },
         limits: Limits {
             clients: size("clients"),
             calls: size("calls"),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod link;
 mod listing;
+mod peers;
 mod session;
 mod shell;
 pub mod template;
@@ -19,14 +20,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 
+/// Messages to peers that may wait to be sent; further ones are lost, as any may be.
+const PEER_QUEUE: usize = 256;
+
 /// Why a controller did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// Its socket could not be bound.
-    #[error("cannot listen for clients on {address}: {source}")]
+    /// A socket could not be bound.
+    #[error("cannot listen on {address}: {source}")]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -88,11 +93,18 @@
         let address = listener.local_addr().map_err(listen)?;
         let shell = Rc::new(Shell::new(config)?);
         shell.set_self();
-        let tasks = vec![
+        let mut tasks = vec![
             spawn_local(session::accept(shell.clone(), listener)),
             spawn_local(listing::keep(shell.clone())),
             spawn_local(shell::keep_time(shell.clone())),
         ];
+        if let Some(wanted) = shell.config.peers.listen {
+            let listen = |source| StartError::Listen { address: wanted, source };
+            let socket = UdpSocket::bind(wanted).await.map_err(listen)?;
+            let (queue, told) = mpsc::channel(PEER_QUEUE);
+            *shell.peers.borrow_mut() = Some(queue);
+            tasks.push(spawn_local(peers::carry(shell.clone(), socket, told)));
+        }
         shell.input(Input::Tick);
         tracing::info!(name = shell.config.name, %address, life = shell.life, "controller started");
         Ok(Controller { shell, address, tasks })
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -61,6 +61,8 @@
     /// When the core is called next, unless something comes before.
     armed: Cell<Option<Micros>>,
     tickets: Cell<u64>,
+    /// Messages to other controllers, where the settings name any.
+    pub(crate) peers: RefCell<Option<mpsc::Sender<Vec<u8>>>>,
     record: Option<RefCell<BufWriter<File>>>,
     me: RefCell<std::rc::Weak<Shell>>,
 }
@@ -97,6 +99,7 @@
             wake: Notify::new(),
             armed: Cell::new(None),
             tickets: Cell::new(0),
+            peers: RefCell::default(),
             record,
             me: RefCell::default(),
         })
@@ -202,8 +205,11 @@
                 self.send(node, ToNode::Probe { nonce: self.clock.now() });
             }
             Output::Watch => self.watch.notify_one(),
-            // No settings allow messages between controllers yet, so the module sends none.
-            Output::Tell(_) => {}
+            Output::Tell(message) => {
+                if let Some(peers) = self.peers.borrow().as_ref() {
+                    let _ = peers.try_send(message);
+                }
+            }
             Output::Log(line) => tracing::warn!(target: "peppercove::module", "{line}"),
         }
     }
--- a/crates/day/tests/days.rs
+++ b/crates/day/tests/days.rs
@@ -63,3 +63,31 @@
     let made = peppercove_config::schema::xsd(&peppercove_day::script::DAY);
     assert!(schema == made, "make it anew: peppercove config schema --day > schema/day.xsd");
 }
+
+#[test]
+fn a_record_of_a_day_put_through_the_core_again_comes_to_the_same() {
+    use peppercove_core::record;
+    let (name, text) = shipped().iter().find(|(name, _)| *name == "cut").unwrap();
+    let script = Script::parse(text, Path::new(".")).unwrap_or_else(|e| panic!("{name}: {e}"));
+    let folder = std::env::temp_dir().join(format!("peppercove-records-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let report = play(&script, 3, Some(folder.clone())).unwrap();
+    let mut replayed = peppercove_core::Counters::default();
+    for i in 0..script.controllers {
+        let text = std::fs::read_to_string(folder.join(format!("controller-{i}.jsonl"))).unwrap();
+        let (first, rest) = text.split_once('\n').unwrap();
+        let head: record::Head = serde_json::from_str(first).unwrap();
+        let limits = peppercove_controller::limits(&script.config, head.life);
+        let scheduler = || peppercove::Scheduler::new(head.module(&script.config.module), head.seed);
+        let mut outputs = [Vec::new(), Vec::new()];
+        for outputs in &mut outputs {
+            let each = |_: &record::Line, o: &[_]| outputs.extend_from_slice(o);
+            let core = record::replay(rest, scheduler(), limits.clone(), each).unwrap();
+            replayed = if outputs.is_empty() { replayed } else { core.counters().plus(&replayed) };
+        }
+        assert_eq!(outputs[0], outputs[1]);
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+    // Each record was put through twice; once each is what the controllers themselves came to.
+    assert_eq!(replayed, report.counters.plus(&report.counters));
+}
--- /dev/null
+++ b/crates/day/tests/trouble.rs
@@ -0,0 +1,137 @@
+//! A small recording made by hand becomes a day that shows what it shows.
+
+use peppercove_day::trouble::{ImportError, import};
+use peppercove_day::{Script, play};
+
+const FACTS: &str = r#"{"caps": {"max-attempts": 3, "may-cancel": true, "may-duplicate": false},
+ "classes": [{"deadline": 4000000, "late-worth": 0.2, "objective": 800000, "repeat": "idempotent", "worth": 1.0},
+  {"deadline": 5000000, "late-worth": 0.2, "objective": 900000, "repeat": "at_most_once", "worth": 5.0}],
+ "fleet-size": 1, "guarantees": {"answer-slack": 8000, "ask-every": 10000000, "cold-from": 0.16, "fall-multiple": 2.5,
+  "stop-sending-within": 250000, "tip-after": 2000000, "warm-within": 18000000},
+ "registry-mode": "on_request", "report": {"fields": ["x0", "x1"], "how": "inline"},
+ "specifics": {"accepts-memory": 1.5, "admit-cores": 2.0, "apart-by": ["off", "off"], "class-calm": [1.0, 0.8],
+  "class-fade": [1.0, 0.2], "class-kind": [-1, -1], "class-most": [2, 2], "cold-bears": 28.0, "confirms": "running",
+  "make-sure": 1000000, "makes-room": false, "mean-memory": 2.5, "memory-by-kind": [60.0], "priority-by-class": [0, 1],
+  "report-counts": "asked", "size-cores": [24], "start-seconds": [12.0, 10.0], "turned-down-price": 0.03,
+  "usual-cores": 1.2, "view": true},
+ "tenants": [], "tick": 2000}"#;
+
+/// Batches in the form of the bench's recordings.
+struct Tap {
+    text: String,
+    body: Vec<u8>,
+    records: u32,
+}
+
+impl Tap {
+    fn record(&mut self, parts: &[&[u8]]) -> &mut Tap {
+        self.records += 1;
+        self.body.extend(parts.concat());
+        self
+    }
+
+    fn instance(&mut self) -> &mut Tap {
+        self.record(&[&[14, 0, 0]])
+    }
+
+    fn flush(&mut self, clock: u64) {
+        let frame = [
+            &(self.body.len() as u32).to_le_bytes()[..],
+            &self.records.to_le_bytes(),
+            &clock.to_le_bytes(),
+            &self.body,
+        ]
+        .concat();
+        let hex: String = frame.iter().map(|b| format!("{b:02x}")).collect();
+        self.text +=
+            &format!(">> process 0, {} bytes\n{hex}\n<< process 0, 4 bytes\n00000000\n", frame.len());
+        (self.body, self.records) = (Vec::new(), 0);
+    }
+}
+
+fn host(i: u8) -> [u8; 6] {
+    [10, 0, 0, i, 0x84, 0x1b]
+}
+
+fn line(i: u8, state: u8, since: u64) -> Vec<u8> {
+    let f = |x: f32| x.to_le_bytes().to_vec();
+    let parts = [f(24.0), host(i).to_vec(), f(1.0), vec![i % 2, 0], vec![0], since.to_le_bytes().to_vec()];
+    [parts.concat(), vec![state, 0], f(60.0)].concat()
+}
+
+fn place(request: u64, class: u16) -> Vec<u8> {
+    let f = |x: f32| x.to_le_bytes().to_vec();
+    let ids = [vec![3], request.to_le_bytes().to_vec(), class.to_le_bytes().to_vec(), vec![0; 4]].concat();
+    let task =
+        [(request + 1000).to_le_bytes().to_vec(), 4_000_000u32.to_le_bytes().to_vec(), vec![0; 4]].concat();
+    [ids, task, 7u64.to_le_bytes().to_vec(), f(1.0), f(2.0), vec![0]].concat()
+}
+
+fn reply(request: u64, node: u8, code: u16) -> Vec<u8> {
+    let head = [vec![5], request.to_le_bytes().to_vec(), vec![0, 0], host(node).to_vec()].concat();
+    [head, code.to_le_bytes().to_vec(), vec![0; 4], vec![u8::from(code == 200), 0, 0]].concat()
+}
+
+fn recording() -> String {
+    let mut tap = Tap { text: String::new(), body: Vec::new(), records: 0 };
+    tap.flush(5_000);
+    let facts = FACTS.as_bytes();
+    tap.instance();
+    tap.record(&[&[1], &9u64.to_le_bytes(), &(facts.len() as u32).to_le_bytes(), facts]);
+    let table: Vec<u8> = (1..=3).flat_map(|i| line(i, 1, 0)).collect();
+    tap.record(&[&[13, 0], &3u32.to_le_bytes(), &table]).instance();
+    tap.record(&[&[2, 0], &1u64.to_le_bytes(), &[2]]);
+    tap.flush(1_000_000);
+    // Ten tasks; node 3 answers none of two, and fails class 1 twice later.
+    for i in 0..10u64 {
+        tap.instance().record(&[&place(i, u16::from(i % 5 == 4))]);
+        tap.flush(1_000_000 + i * 100_000);
+    }
+    for (i, node, code) in [(0, 1, 200), (1, 3, 408), (2, 3, 408), (4, 3, 502), (9, 3, 502)] {
+        tap.instance().record(&[&reply(i, node, code)]);
+        tap.flush(2_000_000 + i * 10_000);
+    }
+    // Node 2 drains, and the list is out of reach.
+    tap.record(&[&[13, 1], &1u32.to_le_bytes(), &line(2, 2, 0)]).instance();
+    tap.record(&[&[2, 1], &2u64.to_le_bytes(), &[0]]).record(&[&[2, 0], &[0; 8], &[3]]);
+    tap.flush(1_800_000);
+    tap.instance().record(&[&place(20, 0)]);
+    tap.flush(4_000_000);
+    tap.text
+}
+
+#[test]
+fn a_recording_becomes_a_day_with_its_faults_and_the_day_can_be_played() {
+    let imported = import(recording().as_bytes(), "made", 10.0, 1).unwrap();
+    assert_eq!(imported.summary, "1 controllers, 3 nodes, 11 jobs in 3.1 s, 4 faults");
+    for part in
+        ["kind=\"hang\" at=\"0us\"", "node=\"n2\"", "kind=\"drains\" at=\"800000us\"", "kind=\"list-down\""]
+    {
+        assert!(imported.day.contains(part), "{part} is not in {}", imported.day);
+    }
+    let folder = std::env::temp_dir().join(format!("peppercove-trouble-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("made-settings.xml"), &imported.settings).unwrap();
+    let script = Script::parse(&imported.day, &folder).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(script.config.module.cold_bears, 28.0);
+    assert_eq!(script.config.module.classes[1].repeat, peppercove::Repeat::Unsafe);
+    let report = play(&script, 1, None).unwrap();
+    assert!(report.is_clean(), "{:#?}", report.verdict.breaches);
+    assert_eq!(report.jobs, 11);
+}
+
+#[test]
+fn what_is_no_recording_is_told_with_its_line() {
+    let line = |text: &str| match import(text.as_bytes(), "x", 1.0, 1).unwrap_err() {
+        ImportError::Line { line, .. } => line,
+        ImportError::Empty(_) => 0,
+    };
+    assert_eq!(line("hello"), 1);
+    assert_eq!(line(">> process 0, 16 bytes\nzz"), 2);
+    assert_eq!(line(">> process 0, 17 bytes\n00000000000000000000000000000000"), 2);
+    assert_eq!(line(">> process x, 17 bytes"), 1);
+    assert_eq!(line(""), 0, "nothing in it");
+    let broken = recording().replacen("0e0000", "ff0000", 1);
+    assert!(line(&broken) > 0);
+}
--- /dev/null
+++ b/crates/drmaa/tests/failover.rs
@@ -0,0 +1,140 @@
+//! The client over several controllers: it fails over without submitting twice, and finds its jobs again.
+
+use peppercove_config::{Config, embedded_default};
+use peppercove_day::cluster::Cluster;
+use peppercove_drmaa::{ANY_JOB, Action, Errno, JobTemplate, Outcome, Session, State};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+fn cluster(name: &str) -> Cluster {
+    let mut config = Config::parse(embedded_default()).unwrap();
+    config.name = name.into();
+    Cluster::start(config, 2, |spec| spec).unwrap()
+}
+
+fn template(category: &str, native: &str) -> JobTemplate {
+    let mut t = JobTemplate::default();
+    for (name, value) in [
+        ("drmaa_remote_command", "sleep"),
+        ("drmaa_job_category", category),
+        ("drmaa_native_specification", native),
+    ] {
+        t.attributes.insert(name.into(), value.into());
+    }
+    t
+}
+
+/// Passes lines on to a controller, and swallows the answers to submissions while told to.
+struct Swallower {
+    address: SocketAddr,
+    swallows: Arc<AtomicBool>,
+    submissions: Arc<AtomicUsize>,
+}
+
+impl Swallower {
+    fn start(to: SocketAddr) -> Swallower {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (swallows, submissions) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (swallow, count) = (swallows.clone(), submissions.clone());
+        std::thread::spawn(move || {
+            for near in listener.incoming().map_while(Result::ok) {
+                let (swallow, count) = (swallow.clone(), count.clone());
+                std::thread::spawn(move || pass(near, to, &swallow, &count));
+            }
+        });
+        Swallower { address, swallows, submissions }
+    }
+}
+
+fn pass(mut near: TcpStream, to: SocketAddr, swallow: &AtomicBool, count: &AtomicUsize) -> Option<()> {
+    let mut far = TcpStream::connect(to).ok()?;
+    let mut calls = BufReader::new(near.try_clone().ok()?);
+    let mut answers = BufReader::new(far.try_clone().ok()?);
+    loop {
+        let mut line = String::new();
+        if calls.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let submission = line.contains("\"runJob\"");
+        far.write_all(line.as_bytes()).ok()?;
+        line.clear();
+        answers.read_line(&mut line).ok()?;
+        if submission {
+            count.fetch_add(1, Ordering::SeqCst);
+            if swallow.swap(false, Ordering::SeqCst) {
+                // The controller took it in; the client will never know from this answer.
+                return None;
+            }
+        }
+        near.write_all(line.as_bytes()).ok()?;
+    }
+}
+
+#[test]
+fn a_submission_whose_answer_was_lost_is_made_again_and_is_the_same_job() {
+    let cluster = cluster("one");
+    let between = Swallower::start(cluster.contact);
+    let session = Session::init(&between.address.to_string()).unwrap();
+    between.swallows.store(true, Ordering::SeqCst);
+    let job = session.run_job(&template("update", "life=1h")).unwrap();
+    assert_eq!(between.submissions.load(Ordering::SeqCst), 2, "it was made twice");
+    assert_eq!(session.outcome(&job, Some(Duration::from_secs(20))).unwrap().outcome, Outcome::Placed);
+    // Only one job of the session is there to be ended and waited for.
+    session.control(&job, Action::Terminate).unwrap();
+    assert_eq!(session.wait(ANY_JOB, Some(Duration::from_secs(20))).unwrap().job_id, job);
+    let none = session.wait(ANY_JOB, Some(Duration::from_secs(1))).unwrap_err();
+    assert_eq!(none.errno, Errno::InvalidJob, "{none}");
+}
+
+#[test]
+fn another_controller_is_asked_where_nothing_was_sent() {
+    let (gone, stays) = (cluster("gone"), cluster("stays"));
+    let contact = format!("{},{}", gone.contact, stays.contact);
+    let session = Session::init(&contact).unwrap();
+    let first = session.run_job(&template("fill", "life=10ms")).unwrap();
+    assert!(first.starts_with("gone."), "{first}");
+    assert_eq!(session.wait(&first, Some(Duration::from_secs(20))).unwrap().exit_status, Some(0));
+    drop(gone);
+    // An unsafe job as well: its connection was refused, so it cannot have run.
+    let second = session.run_job(&template("update", "life=10ms"));
+    let second = match second {
+        // The idle connection broke under the first call: whether it was read is not known.
+        Err(e) if e.errno == Errno::DrmCommunicationFailure => {
+            session.run_job(&template("update", "life=10ms")).unwrap()
+        }
+        other => other.unwrap(),
+    };
+    assert!(second.starts_with("stays."), "{second}");
+    assert_eq!(session.wait(&second, Some(Duration::from_secs(20))).unwrap().exit_status, Some(0));
+}
+
+#[test]
+fn a_session_is_resumed_by_its_name() {
+    let cluster = cluster("one");
+    let contact = cluster.contact.to_string();
+    let first = Session::init(&contact).unwrap();
+    let (name, job) = (first.name().to_owned(), first.run_job(&template("fill", "life=1h")).unwrap());
+    first.outcome(&job, Some(Duration::from_secs(20))).unwrap();
+    drop(first);
+    let second = Session::resume(&contact, &name).unwrap();
+    assert_eq!(second.job_ps(&job).unwrap(), State::Running);
+    let stranger = Session::init(&contact).unwrap();
+    assert_eq!(stranger.job_ps(&job).unwrap_err().errno, Errno::InvalidJob, "a job is its session's alone");
+    second.control(&job, Action::Terminate).unwrap();
+    assert_eq!(second.wait(&job, Some(Duration::from_secs(20))).unwrap().signal, Some(15));
+}
+
+#[test]
+fn contacts_are_checked() {
+    for contact in ["", "nowhere", "127.0.0.1", ","] {
+        let error = Session::init(contact).map(|_| ()).unwrap_err();
+        assert_eq!(error.errno, Errno::InvalidContactString, "{contact}: {error}");
+    }
+    let unused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let error = Session::init(&unused.to_string()).map(|_| ()).unwrap_err();
+    assert_eq!(error.errno, Errno::DrmCommunicationFailure, "{error}");
+}
