--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -29,6 +29,8 @@
         ("drains", include_str!("../days/drains.xml")),
         ("list-stale", include_str!("../days/list-stale.xml")),
         ("list-down", include_str!("../days/list-down.xml")),
+        ("neighbour", include_str!("../days/neighbour.xml")),
+        ("accepted", include_str!("../days/accepted.xml")),
         ("reports-late", include_str!("../days/reports-late.xml")),
         ("flush", include_str!("../days/flush.xml")),
         ("cut", include_str!("../days/cut.xml")),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -76,6 +76,14 @@
                 attribute("controllers", Kind::Count(1, 1000), Some("2"), "Controllers."),
                 attribute("list-late", Kind::Span, Some("300ms"), "How late the list tells changes."),
                 attribute("list-refresh", Kind::Span, Some("500ms"), "How often it looks at free room."),
+                attribute(
+                    "confirms",
+                    Kind::Choice(&["accepted", "running"]),
+                    Some(""),
+                    "In place of what the settings say.",
+                ),
+                attribute("preempts", Kind::Flag, Some(""), "In place of what the settings say."),
+                attribute("probes", Kind::Flag, Some(""), "In place of what the settings say."),
             ],
             children: &[Element {
                 name: "nodes",
@@ -324,8 +332,16 @@
     }
 }
 
-fn read(day: &Document, config: Config, problems: &mut Vec<Problem>) -> Script {
+fn read(day: &Document, mut config: Config, problems: &mut Vec<Problem>) -> Script {
     let fleet = day.child("fleet");
+    let module = &mut config.module;
+    match fleet.text("confirms") {
+        Some("accepted") => module.confirms = peppercove::Confirms::Accepted,
+        Some(_) => module.confirms = peppercove::Confirms::Running,
+        None => {}
+    }
+    module.preempts = fleet.text("preempts").map_or(module.preempts, |f| f == "true");
+    module.probes = fleet.text("probes").map_or(module.probes, |f| f == "true");
     let controllers = fleet.count("controllers") as usize;
     let class = |d: &Document, problems: &mut Vec<Problem>| {
         let name = d.word("class").to_owned();
