A scheduler for background work: priorities, budgets that follow placing, aging, retries

All that reports must give way to placing within one call and still come to its end. Decisions only, without clock or I/O; the daemon does not use it yet. Property tests, 200 cases: processor time stays within a second's burst and the calm share, nothing starves, and the lowest class ends within the work of all at the floor.

--- /dev/null
+++ b/crates/background/tests/background.rs
@@ -0,0 +1,201 @@
+//! Budgets, starvation, giving way, retries: by hand and by property.
+
+use peppercove_background::{Action, Background, Class, Cost, Ended, Event, Micros, Retry, Settings, WorkId};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const SECOND: Micros = 1_000_000;
+
+fn class(priority: u32) -> Class {
+    Class {
+        priority,
+        budget: Cost::default(),
+        queue: 100,
+        slots: 10,
+        retry: Retry { least: SECOND, most: 8 * SECOND, tries: 3 },
+    }
+}
+
+fn settings(classes: Vec<Class>) -> Settings {
+    Settings {
+        classes,
+        slots: 10,
+        calm_share: 0.5,
+        pressed_share: 0.02,
+        calm_below: 1_000,
+        pressed_from: 5_000,
+        ages_every: SECOND,
+        pressure_lasts: 2 * SECOND,
+    }
+}
+
+fn cpu(cpu: f64) -> Cost {
+    Cost { cpu, ..Cost::default() }
+}
+
+fn submit(work: u64, class: usize, cost: Cost) -> Event {
+    Event::Submit { work: WorkId(work), class, cost, deadline: None }
+}
+
+fn started(actions: &[Action]) -> Vec<u64> {
+    actions.iter().filter_map(|a| if let Action::Start(WorkId(w)) = a { Some(*w) } else { None }).collect()
+}
+
+#[test]
+fn the_higher_class_goes_first_until_the_lower_has_aged() {
+    let mut b = Background::new(Settings { slots: 1, ..settings(vec![class(0), class(3)]) }, 1);
+    assert_eq!(started(&b.handle(0, submit(0, 1, cpu(1.0)))), [0]);
+    b.handle(0, submit(1, 0, cpu(1.0)));
+    b.handle(1, submit(2, 1, cpu(1.0)));
+    assert_eq!(started(&b.handle(2, Event::Finished(WorkId(0), cpu(1.0)))), [2]);
+    b.handle(4 * SECOND, submit(3, 1, cpu(1.0)));
+    assert_eq!(
+        started(&b.handle(4 * SECOND, Event::Finished(WorkId(2), cpu(1.0)))),
+        [1],
+        "four ages beat three steps"
+    );
+}
+
+#[test]
+fn it_gives_way_at_once_and_catches_up_when_calm() {
+    let mut b = Background::new(settings(vec![class(0)]), 1);
+    assert_eq!(started(&b.handle(0, submit(0, 0, cpu(900_000.0)))), [0]);
+    assert_eq!(b.handle(10, Event::Placing(9_000)), [Action::GiveWay(WorkId(0))]);
+    assert!((b.share() - 0.02).abs() < 1e-9);
+    b.handle(20, Event::Finished(WorkId(0), cpu(1_500_000.0)));
+    assert!(
+        started(&b.handle(30, submit(1, 0, cpu(1.0)))).is_empty(),
+        "overdrawn, and the floor fills slowly"
+    );
+    assert!(started(&b.handle(SECOND, Event::Placing(9_000))).is_empty());
+    // Nothing more is heard of the pressure: it has passed.
+    assert!(started(&b.handle(3 * SECOND + SECOND / 2, Event::Tick)).is_empty());
+    assert_eq!(started(&b.handle(5 * SECOND, Event::Tick)), [1]);
+}
+
+#[test]
+fn a_class_stays_within_its_budget_and_its_slots() {
+    let limited = Class { budget: Cost { requests: 10.0, ..Cost::default() }, slots: 2, ..class(0) };
+    let mut b = Background::new(settings(vec![limited, class(0)]), 1);
+    let one = Cost { requests: 1.0, ..Cost::default() };
+    let mut starts = 0;
+    let mut running: Vec<u64> = Vec::new();
+    for i in 0..60u64 {
+        running.extend(started(&b.handle(0, submit(i, 0, one))));
+        assert!(running.len() <= 2);
+    }
+    for step in 0..300 {
+        for work in std::mem::take(&mut running) {
+            starts += 1;
+            running.extend(started(&b.handle(step * 10_000, Event::Finished(WorkId(work), one))));
+        }
+        running.extend(started(&b.handle(step * 10_000, Event::Tick)));
+        // A burst of one second, one piece overdrawn, and ten a second after it.
+        assert!(starts as f64 <= 10.0 + 1.0 + step as f64 / 10.0, "{starts} in {step}");
+    }
+    assert!(starts >= 38, "{starts}: it uses what it may");
+    assert_eq!(started(&b.handle(0, submit(1000, 1, one))), [1000], "another class is not held up by it");
+}
+
+#[test]
+fn retries_wait_longer_each_time_and_end() {
+    let mut b = Background::new(settings(vec![class(0)]), 1);
+    b.handle(0, submit(0, 0, cpu(1.0)));
+    let failed = |retry_after| Event::Failed { work: WorkId(0), cost: cpu(1.0), again: true, retry_after };
+    assert!(b.handle(0, failed(None)).is_empty());
+    let at = b.next_wake().unwrap();
+    assert!((SECOND / 2..=SECOND).contains(&at), "{at}");
+    assert_eq!(started(&b.handle(at, Event::Tick)), [0]);
+    assert!(b.handle(at, failed(Some(30 * SECOND))).is_empty());
+    assert!(started(&b.handle(at + 30 * SECOND - 1, Event::Tick)).is_empty(), "the other side's wish counts");
+    assert_eq!(started(&b.handle(at + 30 * SECOND, Event::Tick)), [0]);
+    assert_eq!(b.handle(at + 31 * SECOND, failed(None)), [Action::End(WorkId(0), Ended::Failed)]);
+    assert!(b.handle(at + 31 * SECOND, failed(None)).is_empty(), "a second word changes nothing");
+    assert_eq!((b.status(0).failed, b.status(0).ended[Ended::Failed as usize]), (3, 1));
+}
+
+#[test]
+fn what_comes_too_much_too_late_or_wrong_is_told() {
+    let mut b = Background::new(Settings { slots: 1, ..settings(vec![Class { queue: 1, ..class(0) }]) }, 1);
+    b.handle(0, submit(0, 0, cpu(1.0)));
+    let late = Event::Submit { work: WorkId(1), class: 0, cost: cpu(1.0), deadline: Some(SECOND) };
+    assert!(b.handle(0, late).is_empty());
+    assert_eq!(b.handle(1, submit(2, 0, cpu(1.0))), [Action::End(WorkId(2), Ended::TurnedAway)]);
+    assert_eq!(b.handle(1, submit(3, 7, cpu(1.0))), [Action::End(WorkId(3), Ended::TurnedAway)]);
+    assert_eq!(b.next_wake().map(|at| at <= SECOND), Some(true));
+    assert_eq!(b.handle(SECOND, Event::Tick), [Action::End(WorkId(1), Ended::TooLate)]);
+    assert_eq!(b.handle(SECOND, submit(4, 0, cpu(f64::NAN))), [Action::End(WorkId(4), Ended::TurnedAway)]);
+    b.handle(SECOND, submit(5, 0, cpu(1.0)));
+    assert_eq!(b.handle(SECOND, Event::Cancel(WorkId(5))), [Action::End(WorkId(5), Ended::Cancelled)]);
+    assert!(b.handle(SECOND, Event::Cancel(WorkId(0))).is_empty(), "what runs is waited for");
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    arrivals: Vec<(u32, usize, u32)>,
+    pressure: Vec<(u32, u32)>,
+}
+
+fn load() -> impl Strategy<Value = Load> {
+    let arrivals = prop::collection::vec((0..20_000_000u32, 0..3usize, 100..60_000u32), 1..150);
+    let pressure = prop::collection::vec((0..20_000_000u32, 0..10_000u32), 0..40);
+    (arrivals, pressure).prop_map(|(arrivals, pressure)| Load { arrivals, pressure })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// One processor runs the work; all of it ends, within what it may take, and the lowest class within its bound.
+    #[test]
+    fn work_ends_within_budget_and_bound(load in load()) {
+        let classes = vec![class(0), class(2), class(5)];
+        let s = Settings { slots: 1, pressed_share: 0.1, ..settings(classes) };
+        let mut b = Background::new(s.clone(), 3);
+        let mut events: Vec<(Micros, Event)> = Vec::new();
+        for (i, (at, class, cost)) in load.arrivals.iter().enumerate() {
+            events.push((u64::from(*at), submit(i as u64, *class, cpu(f64::from(*cost)))));
+        }
+        events.extend(load.pressure.iter().map(|(at, delay)| (u64::from(*at), Event::Placing(u64::from(*delay)))));
+        events.sort_by_key(|(at, _)| *at);
+        let costs: BTreeMap<u64, f64> = load.arrivals.iter().enumerate().map(|(i, a)| (i as u64, f64::from(a.2))).collect();
+        let (mut now, mut used, mut waits) = (0, 0.0, BTreeMap::new());
+        let mut running: Option<(Micros, u64)> = None;
+        let mut queue = events.into_iter().peekable();
+        let mut ended = 0;
+        while ended < costs.len() {
+            let next = [queue.peek().map(|(at, _)| *at), running.map(|(at, _)| at), b.next_wake()];
+            let Some(at) = next.into_iter().flatten().min() else { break };
+            now = at.max(now);
+            prop_assert!(now < 400 * SECOND, "work starves: {:?}", (0..3).map(|c| b.status(c)).collect::<Vec<_>>());
+            let event = if running.is_some_and(|(at, _)| at <= now) {
+                let (_, work) = running.take().unwrap();
+                ended += 1;
+                Event::Finished(WorkId(work), cpu(costs[&work]))
+            } else if queue.peek().is_some_and(|(at, _)| *at <= now) {
+                queue.next().unwrap().1
+            } else {
+                Event::Tick
+            };
+            for action in b.handle(now, event) {
+                match action {
+                    Action::Start(WorkId(work)) => {
+                        prop_assert!(running.is_none(), "one slot");
+                        running = Some((now + costs[&work] as u64, work));
+                        used += costs[&work];
+                        waits.insert(work, now - u64::from(load.arrivals[work as usize].0));
+                        // A second's burst, one piece overdrawn, and the calm share at the most.
+                        prop_assert!(used <= 1e6 + 60_000.0 + 0.5 * now as f64 + 1.0, "{used} by {now}");
+                    }
+                    Action::End(_, Ended::TurnedAway) => ended += 1,
+                    _ => {}
+                }
+            }
+        }
+        // Even at the floor all that was ever asked for is done within this, and then the lowest class as well.
+        let total: f64 = costs.values().sum();
+        let bound = (total / s.pressed_share) as u64 + 5 * s.ages_every + SECOND;
+        for (work, wait) in waits {
+            prop_assert!(wait <= bound, "work {} waited {} us", work, wait);
+        }
+    }
+}
