Metrics of the controller: one table of figures, bounded labels, gathered for a push to come

The on-call engineer needs delays, refusals by reason and list age as figures. 18 families in one table, from which the operators' page is made; label values are bounded; counters only grow. A loopback test shows each family with its value after a placing, a wrong template and a lost list. Nothing is pushed yet.

--- /dev/null
+++ b/crates/controller/src/figures.rs
@@ -0,0 +1,127 @@
+//! The controller's own figures: counted as things happen, or read from the core when they are gathered.
+
+use crate::shell::Shell;
+use peppercove::{MachineState, Micros, Outcome, Why};
+use peppercove_core::nodes::Link;
+use peppercove_core::{Answer, Counters};
+use peppercove_metrics::{self as names, Metrics, Point};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// What was told of the core's own counters so far; figures only ever grow by what came since.
+#[derive(Default)]
+struct Told {
+    counters: Counters,
+    ends: BTreeMap<(&'static str, &'static str), u64>,
+}
+
+pub(crate) struct Figures {
+    metrics: Metrics,
+    told: RefCell<Told>,
+}
+
+impl Figures {
+    pub(crate) fn new(began: Micros) -> Figures {
+        let figures = Figures { metrics: Metrics::new(), told: RefCell::default() };
+        figures.set(names::START, &[], began as f64 / 1e6);
+        figures
+    }
+
+    pub(crate) fn add(&self, name: &'static str, labels: &[&str], more: f64) {
+        if let Err(error) = self.metrics.add(name, labels, more) {
+            tracing::error!(%error, "fault: a figure is not in the table");
+        }
+    }
+
+    pub(crate) fn set(&self, name: &'static str, labels: &[&str], to: f64) {
+        if let Err(error) = self.metrics.set(name, labels, to) {
+            tracing::error!(%error, "fault: a figure is not in the table");
+        }
+    }
+
+    /// An ask was answered; `after` is how long it took, where an ask was made in this life.
+    pub(crate) fn answered(&self, class: &str, answer: Answer, after: Option<Micros>) {
+        let outcome = match answer {
+            Answer::Placed(_) => "placed",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+            Answer::Withdrawn => "withdrawn",
+        };
+        self.add(names::ANSWERS, &[class, outcome], 1.0);
+        if let Some(after) = after
+            && let Err(error) = self.metrics.observe(names::PLACEMENT, &[class, outcome], after as f64 / 1e6)
+        {
+            tracing::error!(%error, "fault: a figure is not in the table");
+        }
+    }
+
+    /// Reads what the core counts, and gives all figures.
+    pub(crate) fn gather(&self, shell: &Shell) -> Vec<Point> {
+        let core = shell.core.borrow();
+        let (now, mut told) = (core.counters(), self.told.borrow_mut());
+        let was = std::mem::replace(&mut told.counters, now);
+        self.add(names::ADOPTED, &[], (now.adopted - was.adopted) as f64);
+        self.add(names::STRAYS, &[], (now.strays - was.strays) as f64);
+        for (kind, more) in [
+            ("overdue", now.overdue - was.overdue),
+            ("illegal-step", now.illegal_steps - was.illegal_steps),
+            ("broken-promise", now.broken_promises - was.broken_promises),
+        ] {
+            self.add(names::FAULTS, &[kind], more as f64);
+        }
+        for (outcome, why, count) in core.attempt_ends() {
+            let labels = (outcome_name(outcome), why_name(why));
+            let before = told.ends.insert(labels, count).unwrap_or(0);
+            self.add(names::ATTEMPT_ENDS, &[labels.0, labels.1], (count - before) as f64);
+        }
+        self.set(names::OPEN_ASKS, &[], core.open_asks() as f64);
+        self.set(names::RUNNING_TASKS, &[], core.placed_tasks() as f64);
+        self.set(names::DOUBTFUL_TASKS, &[], core.doubtful_tasks() as f64);
+        self.set(names::LIST_GENERATION, &[], core.nodes().generation as f64);
+        self.set(names::CLIENTS, &[], shell.sessions.borrow().open_connections() as f64);
+        // Every combination is set, so that one that is empty now does not keep its last value.
+        let mut nodes: BTreeMap<(&str, &str), f64> = BTreeMap::new();
+        for state in ["ready", "draining", "gone"] {
+            nodes.extend(["up", "down"].map(|link| ((state, link), 0.0)));
+        }
+        for (_, node) in core.nodes().iter() {
+            let state = match node.line.state {
+                MachineState::Ready => "ready",
+                MachineState::Draining => "draining",
+                MachineState::Gone => "gone",
+            };
+            let link = if node.link == Link::Up { "up" } else { "down" };
+            *nodes.entry((state, link)).or_default() += 1.0;
+        }
+        for ((state, link), count) in nodes {
+            self.set(names::NODES, &[state, link], count);
+        }
+        self.metrics.gather()
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Error => "error",
+        Outcome::Refused => "refused",
+        Outcome::TimedOut => "timed-out",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Lost => "lost",
+        Outcome::Withdrawn => "withdrawn",
+        Outcome::NotSent => "not-sent",
+    }
+}
+
+fn why_name(why: Why) -> &'static str {
+    match why {
+        Why::Unknown => "none",
+        Why::NoCores => "no-cores",
+        Why::NoMemory => "no-memory",
+        Why::Busy => "busy",
+        Why::NotHere => "not-here",
+        Why::Evicted => "evicted",
+        Why::PushedOut => "pushed-out",
+        Why::SentAway => "sent-away",
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,6 +5,7 @@
 //! back is written out. Nothing here decides anything: the front ([`session`], [`template`]) turns JSON-RPC into
 //! submissions, the links ([`link`], [`listing`]) turn frames into inputs and outputs into frames.
 
+mod figures;
 mod link;
 mod listing;
 mod peers;
@@ -127,6 +128,16 @@
         }
     }
 
+    /// The text by which clients know its `number`-th job.
+    pub fn job_name(&self, number: u64) -> String {
+        self.shell.job_name(peppercove_core::JobId(number))
+    }
+
+    /// Its figures as they are now, as they are to be pushed.
+    pub fn figures(&self) -> Vec<peppercove_metrics::Point> {
+        self.shell.figures.gather(&self.shell)
+    }
+
     /// Stops cleanly: takes nothing new, waits for what is open for the stated time, answers the rest.
     pub async fn stop(self) -> Left {
         self.shell.input(Input::Stop);
--- a/crates/controller/src/listing.rs
+++ b/crates/controller/src/listing.rs
@@ -6,6 +6,7 @@
 use peppercove::{ListScope, MachineState};
 use peppercove_core::Input;
 use peppercove_core::nodes::NodeLine;
+use peppercove_metrics as names;
 use peppercove_protocol::codec::{FrameError, LIST_FRAME, Messages};
 use peppercove_protocol::list::{FromList, Line, NodeState, Scope, ToList};
 use std::rc::Rc;
@@ -50,6 +51,7 @@
             Err(_) => ListError::TimedOut,
         };
         tracing::warn!(%error, "node list out of reach");
+        shell.figures.add(names::LIST_FAILURES, &[], 1.0);
         shell.input(Input::ListFailed);
         if by_itself {
             backoff.wait().await;
@@ -100,6 +102,7 @@
 
 fn pass_on(shell: &Shell, news: FromList) {
     let FromList::News { generation, scope, lines } = news else { return };
+    shell.figures.set(names::LIST_HEARD, &[], shell.clock.now() as f64 / 1e6);
     let scope = match scope {
         Scope::Delta => ListScope::Delta,
         Scope::Full => ListScope::Full,
--- a/crates/controller/src/session.rs
+++ b/crates/controller/src/session.rs
@@ -4,6 +4,7 @@
 use crate::template::prepare;
 use futures_util::{SinkExt, StreamExt};
 use peppercove_core::{Control, Input, JobId, JobState, Output, TurnedAway};
+use peppercove_metrics as names;
 use peppercove_protocol::drmaa::{ALL_JOBS, ANY_JOB, Action, Errno, State};
 use peppercove_protocol::rpc::{self, Call, Fault, Reply};
 use serde::Serialize;
@@ -108,6 +109,10 @@
         self.waiters.retain(|_, w| Rc::strong_count(w) > 1);
     }
 
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
     pub(crate) fn is_flushed(&self) -> bool {
         self.connections.values().all(|c| c.out.capacity() == c.out.max_capacity())
     }
@@ -363,6 +368,18 @@
     own.ok_or_else(|| Fault::drmaa(Errno::InvalidJob, format!("there is no job '{name}' in this session")))
 }
 
+fn reason(why: TurnedAway) -> &'static str {
+    match why {
+        TurnedAway::Full(_) => "full",
+        TurnedAway::Stopping(_) => "stopping",
+        TurnedAway::InDoubt(_) => "in-doubt",
+        TurnedAway::RanAlready => "ran-already",
+        TurnedAway::TaskTaken(_) => "task-taken",
+        TurnedAway::NoSuchJob => "no-such-job",
+        TurnedAway::WrongState(_) => "wrong-state",
+    }
+}
+
 fn turned_away(shell: &Shell, why: TurnedAway, control: Option<Control>) -> Fault {
     let micros = Duration::from_micros;
     match why {
@@ -397,18 +414,22 @@
     if let Some(job) = shell.core.borrow().jobs().by_key(session, key) {
         return Ok(job);
     }
-    let prepared = prepare(&shell.config, session, key, template, index)?;
+    let prepared = prepare(&shell.config, session, key, template, index)
+        .inspect_err(|_| shell.figures.add(names::TURNED_AWAY, &["invalid"], 1.0))?;
     let ticket = shell.ticket();
+    let class = prepared.submission.class;
     let submission = Box::new(prepared.submission);
     for output in shell.input(Input::Submit { ticket, submission }) {
         match output {
             Output::Accepted { ticket: t, job } if t == ticket => {
+                shell.figures.add(names::SUBMISSIONS, &[shell.class_name(class)], 1.0);
                 if let Some(at) = prepared.start_at {
                     release_at(shell, job, at);
                 }
                 return Ok(job);
             }
             Output::TurnedAway { ticket: t, why } if t == ticket => {
+                shell.figures.add(names::TURNED_AWAY, &[reason(why)], 1.0);
                 return Err(turned_away(shell, why, None));
             }
             _ => {}
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -1,6 +1,7 @@
 //! The core, and what is around it: where inputs come in and outputs go out.
 
 use crate::StartError;
+use crate::figures::Figures;
 use crate::link;
 use crate::session::Sessions;
 use peppercove::{MachineId, Micros, RequestId, Scheduler};
@@ -8,6 +9,7 @@
 use peppercove_core::{
     Answer, Control, Core, End, Input, Job, JobId, JobState, Limits, Output, Submission, record,
 };
+use peppercove_metrics as names;
 use peppercove_protocol::node::{self, AttemptId, Program, ToNode, Work};
 use peppercove_protocol::rpc;
 use std::cell::{Cell, RefCell};
@@ -64,6 +66,7 @@
     /// Messages to other controllers, where the settings name any.
     pub(crate) peers: RefCell<Option<mpsc::Sender<Vec<u8>>>>,
     record: Option<RefCell<BufWriter<File>>>,
+    pub(crate) figures: Figures,
     me: RefCell<std::rc::Weak<Shell>>,
 }
 
@@ -73,7 +76,7 @@
         let seed = config.seed.unwrap_or_else(|| fastrand::u64(..));
         // Lives only have to differ: the time of the start, scattered so that two in one microsecond do as well.
         let life = clock.now() ^ (fastrand::u64(..) & 0xfff) << 52;
-        let limits = limits(&config, life);
+        let (limits, began) = (limits(&config, life), clock.now());
         let record = match &config.record {
             Some(path) => {
                 let file =
@@ -101,6 +104,7 @@
             tickets: Cell::new(0),
             peers: RefCell::default(),
             record,
+            figures: Figures::new(began),
             me: RefCell::default(),
         })
     }
@@ -140,6 +144,9 @@
                 self.settled.notify_one();
                 let core = self.core.borrow();
                 if let Some(j) = core.jobs().get(job) {
+                    let after = self.clock.now().saturating_sub(j.asked_at);
+                    let class = self.class_name(j.submission.class);
+                    self.figures.answered(class, answer, (j.asked_at > 0).then_some(after));
                     let settled = self.settled_of(j, answer);
                     self.sessions.borrow_mut().settled(&j.submission.session, job, settled);
                 }
@@ -167,6 +174,7 @@
             Output::Offer { node, request, attempt, expires_in, job } => {
                 let work = self.core.borrow().jobs().get(job).map(|j| self.work(&j.submission));
                 let id = AttemptId { request: request.0, number: attempt };
+                self.figures.add(names::ATTEMPTS, &[], 1.0);
                 let sent =
                     work.is_some_and(|work| self.send(node, ToNode::Offer { attempt: id, expires_in, work }));
                 if !sent {
@@ -226,6 +234,11 @@
         *self.me.borrow_mut() = Rc::downgrade(self);
     }
 
+    /// The name of a class, as the settings have it.
+    pub(crate) fn class_name(&self, class: u16) -> &str {
+        self.config.classes.get(usize::from(class)).map_or("unknown", String::as_str)
+    }
+
     fn work(&self, s: &Submission) -> Work {
         let class = self.config.module.classes.get(usize::from(s.class));
         let repeat = match class.map(|c| c.repeat) {
--- a/crates/controller/tests/front.rs
+++ b/crates/controller/tests/front.rs
@@ -322,3 +322,37 @@
         assert_eq!(nodes.iter().map(|n| n.read(|m| m.held())).sum::<usize>(), 0);
     });
 }
+
+#[test]
+fn figures_tell_what_happened_and_every_family_has_a_value() {
+    on_loopback(async {
+        let rig = rig(|_| {}).await;
+        let mut client = Client::open(rig.controller.address(), "s").await;
+        client.run(1, "done", "fill", "life=10ms").await;
+        client.call(2, "wait", json!({ "jobId": rig.controller.job_name(0) })).await;
+        client.run(3, "runs", "render", "life=1h").await;
+        until(|| rig.controller.status().running == 1).await;
+        client.run(4, "wrong", "fill", "cores=x").await;
+        rig._list.trouble(|t| t.down = true);
+        let value = |name: &str, labels: &[&str]| {
+            let points = rig.controller.figures();
+            let fits = |p: &&peppercove_metrics::Point| {
+                p.name == name && p.labels.iter().map(|(_, v)| v.as_str()).eq(labels.iter().copied())
+            };
+            points.iter().find(fits).map(|p| p.value)
+        };
+        until(|| value("peppercove_node_list_failures_total", &[]) >= Some(1.0)).await;
+        assert_eq!(value("peppercove_submissions_total", &["fill"]), Some(1.0));
+        assert_eq!(value("peppercove_answers_total", &["render", "placed"]), Some(1.0));
+        assert_eq!(value("peppercove_placement_seconds_count", &["fill", "placed"]), Some(1.0));
+        assert_eq!(value("peppercove_attempt_ends_total", &["done", "none"]), Some(1.0));
+        assert_eq!(value("peppercove_turned_away_total", &["invalid"]), Some(1.0));
+        assert_eq!(value("peppercove_running_tasks", &[]), Some(1.0));
+        assert_eq!(value("peppercove_nodes", &["up", "ready"]), Some(2.0));
+        assert_eq!(value("peppercove_faults_total", &["overdue"]), Some(0.0));
+        let points = rig.controller.figures();
+        for family in peppercove_metrics::FAMILIES {
+            assert!(points.iter().any(|p| p.family == family), "{} has no value", family.name);
+        }
+    });
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -397,6 +397,7 @@
     events: Vec<Event>,
     out: Vec<Output>,
     counters: Counters,
+    attempt_ends: BTreeMap<(u8, u8), (Outcome, Why, u64)>,
 }
 
 /// Rounds of events and actions that one input may cause; each failed bind is one, and attempts are bounded.
@@ -423,9 +424,15 @@
             events: Vec::new(),
             out: Vec::new(),
             counters: Counters::default(),
+            attempt_ends: BTreeMap::new(),
         }
     }
 
+    /// Attempts that ended, by how and why.
+    pub fn attempt_ends(&self) -> impl Iterator<Item = (Outcome, Why, u64)> + '_ {
+        self.attempt_ends.values().copied()
+    }
+
     /// The jobs.
     pub fn jobs(&self) -> &Jobs {
         &self.jobs
@@ -633,7 +640,7 @@
         let Some(j) = self.jobs.get_mut(job) else { return };
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        (j.ask, j.state) = (Some(request), JobState::Queued);
+        (j.ask, j.state, j.asked_at) = (Some(request), JobState::Queued, self.now);
         let deadline_in = j.submission.deadline_in;
         let request =
             request_of(&j.submission, request, deadline_in.saturating_sub(self.limits.answer_reserve));
@@ -894,11 +901,17 @@
             self.step(request, Life::Waiting);
         }
         let over = matches!(life, Life::Over | Life::Placed(_));
+        self.count_end(outcome, why);
         self.events.push(Event::Ended { request, attempt, machine, outcome, why, over, load });
         self.forget_if_done(request);
         self.let_go(machine);
     }
 
+    fn count_end(&mut self, outcome: Outcome, why: Why) {
+        let key = (outcome as u8, why as u8);
+        self.attempt_ends.entry(key).or_insert((outcome, why, 0)).2 += 1;
+    }
+
     fn on_expired(&mut self, request: RequestId, attempt: u16) {
         let Some(at) = self.out_trace(request, attempt) else { return };
         self.counters.timed_out += 1;
@@ -1036,6 +1049,7 @@
             a.ended = Some(outcome);
         }
         self.step(request, Life::Over);
+        self.count_end(outcome, why);
         self.events.push(Event::Ended { request, attempt, machine: node, outcome, why, over: true, load });
         let moved = self.moving.remove(&request).is_some();
         self.forget_if_done(request);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -131,6 +131,8 @@
     pub state: JobState,
     /// The ask that is made for it.
     pub ask: Option<RequestId>,
+    /// When the last ask was made for it.
+    pub asked_at: Micros,
     /// The answer, once it is given.
     pub answer: Option<Answer>,
     /// How its task ended.
@@ -220,7 +222,7 @@
         self.tasks.insert(submission.task, id);
         self.sessions.entry(submission.session.clone()).or_default().insert(id);
         *self.unfinished.entry(submission.session.clone()).or_insert(0) += 1;
-        self.jobs.insert(id, Job { id, submission, state, ask: None, answer: None, end: None });
+        self.jobs.insert(id, Job { id, submission, state, ask: None, asked_at: 0, answer: None, end: None });
         id
     }
 
--- /dev/null
+++ b/crates/metrics/examples/page.rs
@@ -0,0 +1,5 @@
+//! Prints the operators' page of metrics.
+
+fn main() {
+    print!("{}", peppercove_metrics::page());
+}
--- /dev/null
+++ b/crates/metrics/tests/table.rs
@@ -0,0 +1,87 @@
+//! The table of figures against Prometheus' conventions and the operators' page.
+
+use peppercove_metrics::{
+    ATTEMPTS, FAMILIES, Kind, LONGEST_VALUE, MOST_VALUES, Metrics, OTHER, PLACEMENT, TURNED_AWAY, page,
+};
+
+#[test]
+fn names_follow_the_conventions_and_stand_once() {
+    for (i, f) in FAMILIES.iter().enumerate() {
+        let fits = |n: &str| {
+            n.starts_with(|c: char| c.is_ascii_lowercase())
+                && n.chars().all(|c| c.is_ascii_lowercase() || c == '_')
+        };
+        assert!(fits(f.name) && f.labels.iter().all(|l| fits(l)), "{}", f.name);
+        assert!(f.name.starts_with("peppercove_"), "{}", f.name);
+        assert_eq!(f.kind == Kind::Counter, f.name.ends_with("_total"), "{}", f.name);
+        assert_ne!((f.kind == Kind::Histogram, f.name.ends_with("_seconds")), (true, false), "{}", f.name);
+        assert!(f.help.ends_with('.') && !f.labels.contains(&"le"), "{}", f.name);
+        assert!(FAMILIES[..i].iter().all(|g| g.name != f.name), "{} stands twice", f.name);
+    }
+}
+
+#[test]
+fn every_family_takes_a_value_and_no_other_does() {
+    let m = Metrics::new();
+    for f in FAMILIES {
+        let labels: Vec<&str> = f.labels.iter().map(|_| "x").collect();
+        let taken = match f.kind {
+            Kind::Counter => m.add(f.name, &labels, 1.0),
+            Kind::Gauge => m.set(f.name, &labels, 1.0),
+            Kind::Histogram => m.observe(f.name, &labels, 1.0),
+        };
+        assert_eq!(taken, Ok(()), "{}", f.name);
+    }
+    for f in FAMILIES {
+        assert!(m.gather().iter().any(|p| p.family.name == f.name), "{}", f.name);
+    }
+    assert!(m.add("peppercove_nothing_total", &[], 1.0).is_err());
+    assert!(m.add(TURNED_AWAY, &[], 1.0).is_err(), "a label is missing");
+    assert!(m.set(ATTEMPTS, &[], 1.0).is_err(), "a counter is not set");
+}
+
+#[test]
+fn histograms_count_upwards_and_counters_never_fall() {
+    let m = Metrics::new();
+    for value in [0.0005, 0.3, 0.3, 100.0] {
+        m.observe(PLACEMENT, &["fill", "placed"], value).unwrap();
+    }
+    let points = m.gather();
+    let buckets: Vec<f64> = points.iter().filter(|p| p.name.ends_with("_bucket")).map(|p| p.value).collect();
+    assert_eq!(buckets.iter().copied().fold(0.0, f64::max), 4.0);
+    let at =
+        |le: &str| points.iter().find(|p| p.labels.iter().any(|(n, v)| n == "le" && v == le)).unwrap().value;
+    assert_eq!((at("0.001"), at("0.25"), at("0.5"), at("12"), at("+Inf")), (1.0, 1.0, 3.0, 3.0, 4.0));
+    assert!(points.iter().all(|p| p.labels.is_sorted()));
+    m.add(ATTEMPTS, &[], 2.0).unwrap();
+    for more in [-1.0, f64::NAN, f64::INFINITY] {
+        m.add(ATTEMPTS, &[], more).unwrap();
+    }
+    assert_eq!(m.gather().iter().find(|p| p.name == ATTEMPTS).unwrap().value, 2.0);
+}
+
+#[test]
+fn values_of_labels_are_bounded() {
+    let m = Metrics::new();
+    for i in 0..MOST_VALUES + 50 {
+        m.add(TURNED_AWAY, &[&format!("reason-{i}")], 1.0).unwrap();
+    }
+    m.add(TURNED_AWAY, &["reason-0"], 1.0).unwrap();
+    let series: Vec<_> = m.gather().into_iter().filter(|p| p.name == TURNED_AWAY).collect();
+    assert_eq!(series.len(), MOST_VALUES + 1);
+    let of = |v: &str| series.iter().find(|p| p.labels[0].1 == v).unwrap().value;
+    assert_eq!((of(OTHER), of("reason-0")), (50.0, 2.0));
+    let m = Metrics::new();
+    m.add(TURNED_AWAY, &[&"é".repeat(LONGEST_VALUE)], 1.0).unwrap();
+    let cut = m.gather()[0].labels[0].1.clone();
+    assert!(cut.len() <= LONGEST_VALUE && cut.chars().all(|c| c == 'é'));
+}
+
+#[test]
+fn the_operators_page_is_the_one_of_the_table() {
+    let shipped = include_str!("../../../docs/operators/metrics.md");
+    assert!(
+        shipped == page(),
+        "make it anew: cargo run -p peppercove-metrics --example page > docs/operators/metrics.md"
+    );
+}
--- /dev/null
+++ b/crates/push/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prometheus remote write.
