Figures are pushed by remote write as background work, to a strict stand-in receiver in tests

The on-call engineer needs the figures outside the daemon, and placing must not feel it. The pusher takes and sends as background work whose share follows how late the daemon's loop is; samples wait on disk. Loopback tests: with the receiver down, failing, throttling, slow and back, samples arrive in order and once; over a restart with the receiver down nothing is lost or doubled; one refused series is dropped alone; 415 finds the other version.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -209,6 +209,89 @@
                 children: &[],
             }],
         },
+        Element {
+            name: "push",
+            often: Often::Maybe,
+            about: "Where the controller's figures are pushed by Prometheus remote write; nowhere without a receiver.",
+            attributes: &[
+                attribute(
+                    "receiver",
+                    Kind::Address,
+                    Some(""),
+                    "Where the receiver listens, over HTTP without TLS.",
+                ),
+                attribute("path", Kind::Text, Some("/api/v1/write"), "Path of its endpoint."),
+                attribute(
+                    "version",
+                    Kind::Choice(&["1.0", "2.0"]),
+                    Some("2.0"),
+                    "Version tried first; the other one after status 415.",
+                ),
+                attribute("every", Kind::Span, Some("15s"), "How often the figures are taken."),
+                attribute(
+                    "timeout",
+                    Kind::Span,
+                    Some("10s"),
+                    "A request that has no answer by then has failed.",
+                ),
+                attribute("batch", ANY_COUNT, Some("2000"), "Samples of one request."),
+                attribute(
+                    "retry-least",
+                    Kind::Span,
+                    Some("1s"),
+                    "First wait after a failure; waits are scattered.",
+                ),
+                attribute("retry-most", Kind::Span, Some("1m"), "Waits double up to this."),
+                attribute(
+                    "per-second",
+                    POSITIVE,
+                    Some("2"),
+                    "Requests a second at most, a backlog's included.",
+                ),
+                attribute(
+                    "backlog",
+                    Kind::Text,
+                    Some(""),
+                    "Folder for what waits; required with a receiver, one for each controller.",
+                ),
+                attribute(
+                    "backlog-bytes",
+                    ANY_COUNT,
+                    Some("67108864"),
+                    "Bytes on disk; the oldest samples make room.",
+                ),
+                attribute("backlog-age", Kind::Span, Some("2h"), "Older samples are dropped."),
+                attribute(
+                    "share",
+                    SHARE,
+                    Some("0.1"),
+                    "Of a second's processor time, for pushing, while placing is calm.",
+                ),
+                attribute(
+                    "pressed-share",
+                    Kind::Number(0.001, 1.0),
+                    Some("0.01"),
+                    "And while it is pressed.",
+                ),
+                attribute(
+                    "calm-below",
+                    Kind::Span,
+                    Some("5ms"),
+                    "Placing is calm while the daemon's own loop is late by less than this.",
+                ),
+                attribute("pressed-from", Kind::Span, Some("50ms"), "And pressed from this on."),
+            ],
+            children: &[Element {
+                name: "label",
+                often: Often::Any,
+                about: "A label of every series, beside `instance`, which is the controller's name.",
+                attributes: &[
+                    attribute("name", Kind::Name, None, "Its name."),
+                    attribute("value", Kind::Text, None, "Its value."),
+                ],
+                children: &[],
+            }],
+        },
         Element {
             name: "rules",
             often: Often::Maybe,
@@ -456,6 +539,29 @@
     pub retry_most: Duration,
 }
 
+/// Where figures are pushed. The table tells what each one is.
+#[derive(Clone, Debug)]
+#[allow(missing_docs)]
+pub struct Push {
+    pub receiver: SocketAddr,
+    pub path: String,
+    pub second: bool,
+    pub every: Duration,
+    pub timeout: Duration,
+    pub batch: usize,
+    pub retry_least: Duration,
+    pub retry_most: Duration,
+    pub per_second: f64,
+    pub backlog: PathBuf,
+    pub backlog_bytes: u64,
+    pub backlog_age: Duration,
+    pub share: f64,
+    pub pressed_share: f64,
+    pub calm_below: Duration,
+    pub pressed_from: Duration,
+    pub labels: Vec<(String, String)>,
+}
+
 /// Other controllers that messages may be sent to.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -508,6 +614,8 @@
     pub record: Option<PathBuf>,
     /// Sockets.
     pub listen: Listen,
+    /// Where figures are pushed, if anywhere.
+    pub push: Option<Push>,
     /// Other controllers.
     pub peers: Peers,
     /// Bounds.
@@ -643,6 +751,7 @@
             retry_least: links.span("retry-least"),
             retry_most: links.span("retry-most").max(links.span("retry-least")),
         },
+        push: push(d.child("push"), problems),
         peers: Peers {
             listen: peers.text("listen").map(|_| peers.address("listen")),
             peers: peers
@@ -683,6 +792,50 @@
     }
 }
 
+fn push(p: &Document, problems: &mut Vec<Problem>) -> Option<Push> {
+    p.text("receiver")?;
+    let Some(backlog) = p.text("backlog") else {
+        problems.push(p.problem("backlog is missing: a folder for what waits"));
+        return None;
+    };
+    if p.span("every").is_zero() || p.span("retry-least").is_zero() {
+        problems.push(p.problem("every and retry-least must be longer than nothing"));
+    }
+    let mut labels = Vec::new();
+    for label in p.children("label") {
+        let name = label.word("name");
+        let fits = |c: char| c.is_ascii_alphanumeric() || c == '_';
+        let ok = !name.starts_with(|c: char| c.is_ascii_digit())
+            && name.chars().all(fits)
+            && !name.starts_with("__");
+        if !ok || name == "instance" || labels.iter().any(|(n, _)| n == name) {
+            problems.push(
+                label.problem(format!("name=\"{name}\" is no label of Prometheus, taken, or stands twice")),
+            );
+        }
+        labels.push((name.to_owned(), label.word("value").to_owned()));
+    }
+    Some(Push {
+        receiver: p.address("receiver"),
+        path: p.word("path").into(),
+        second: p.word("version") == "2.0",
+        every: p.span("every"),
+        timeout: p.span("timeout"),
+        batch: usize::try_from(p.count("batch")).unwrap_or(usize::MAX),
+        retry_least: p.span("retry-least"),
+        retry_most: p.span("retry-most"),
+        per_second: p.number("per-second"),
+        backlog: PathBuf::from(backlog),
+        backlog_bytes: p.count("backlog-bytes"),
+        backlog_age: p.span("backlog-age"),
+        share: p.number("share"),
+        pressed_share: p.number("pressed-share"),
+        calm_below: p.span("calm-below"),
+        pressed_from: p.span("pressed-from"),
+        labels,
+    })
+}
+
 fn class(c: &Document, kinds: &[String], limits: &Document, problems: &mut Vec<Problem>) -> Class {
     let kind = c.text("kind").map(|name| kinds.iter().position(|k| k == name));
     if kind == Some(None) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod link;
 mod listing;
 mod peers;
+mod push;
 mod session;
 mod shell;
 pub mod template;
@@ -39,6 +40,14 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The folder for what waits to be pushed cannot be used.
+    #[error("cannot use the backlog {path}: {source}")]
+    Backlog {
+        /// The folder.
+        path: std::path::PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
     /// Its record could not be written.
     #[error("cannot write the record {path}: {source}")]
     Record {
@@ -106,6 +115,12 @@
             *shell.peers.borrow_mut() = Some(queue);
             tasks.push(spawn_local(peers::carry(shell.clone(), socket, told)));
         }
+        if let Some(settings) = shell.config.push.clone() {
+            let folder = settings.backlog.clone();
+            let pusher = push::Pusher::open(&shell, settings)
+                .map_err(|source| StartError::Backlog { path: folder, source })?;
+            tasks.push(spawn_local(pusher.keep(shell.clone())));
+        }
         shell.input(Input::Tick);
         tracing::info!(name = shell.config.name, %address, life = shell.life, "controller started");
         Ok(Controller { shell, address, tasks })
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -37,6 +37,11 @@
         self.base + u64::try_from(self.began.elapsed().as_micros()).unwrap_or(0)
     }
 
+    /// When it began, on its own scale.
+    pub(crate) fn began(&self) -> Micros {
+        self.base
+    }
+
     fn instant(&self, at: Micros) -> tokio::time::Instant {
         tokio::time::Instant::from_std(self.began + Duration::from_micros(at.saturating_sub(self.base)))
     }
--- a/crates/controller/tests/front.rs
+++ b/crates/controller/tests/front.rs
@@ -351,7 +351,9 @@
         assert_eq!(value("peppercove_nodes", &["up", "ready"]), Some(2.0));
         assert_eq!(value("peppercove_faults_total", &["overdue"]), Some(0.0));
         let points = rig.controller.figures();
-        for family in peppercove_metrics::FAMILIES {
+        // What is told of the push has values only where there is one; its tests look at those.
+        let pushes = |n: &str| n.starts_with("peppercove_push_") || n == peppercove_metrics::LOOP_LATE;
+        for family in peppercove_metrics::FAMILIES.iter().filter(|f| !pushes(f.name)) {
             assert!(points.iter().any(|p| p.family == family), "{} has no value", family.name);
         }
     });
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -82,6 +82,14 @@
         "Connections of clients.";
     FAULTS = "peppercove_faults_total", Counter, ["kind"],
         "Faults that the program found in itself; any is worth a report.";
+    PUSHED = "peppercove_push_samples_total", Counter, ["outcome"],
+        "Samples made, pushed, and dropped by reason.";
+    PUSHES = "peppercove_push_requests_total", Counter, ["status"],
+        "Requests to the receiver, by status or `no-answer`.";
+    BACKLOG = "peppercove_push_backlog_bytes", Gauge, [],
+        "Samples that wait to be pushed, in bytes on disk.";
+    LOOP_LATE = "peppercove_loop_late_seconds", Gauge, [],
+        "How late the daemon's own loop was when last looked at, in seconds.";
     START = "peppercove_start_timestamp_seconds", Gauge, [],
         "When the controller started, in seconds since 1970.";
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod list;
 pub mod model;
 pub mod node;
+pub mod receiver;
 
 use std::time::Instant;
 
