--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -53,6 +53,9 @@
     },
     /// Play scripted days on real sockets and judge the five rules.
     Day(days::DayArguments),
+    /// Alert rules over the figures.
+    #[command(subcommand)]
+    Alerts(AlertsCommand),
     /// Turn recordings into days.
     #[command(subcommand)]
     Trouble(TroubleCommand),
@@ -91,6 +94,17 @@
     Default,
 }
 
+#[derive(Subcommand)]
+enum AlertsCommand {
+    /// Check a rule file: its expressions, and every figure and label in them.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Print the shipped rule file.
+    Show,
+}
+
 #[derive(Subcommand)]
 enum TroubleCommand {
     /// Turn what the bench recorded with `--tap` into a day.
@@ -141,6 +155,11 @@
         Command::Trouble(TroubleCommand::Import { tap, out, seconds, thin }) => {
             days::import(&tap, &out, seconds, thin)
         }
+        Command::Alerts(AlertsCommand::Show) => {
+            print!("{}", peppercove_alerts::rule_file());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Alerts(AlertsCommand::Check { file }) => check_alerts(&file),
         Command::Bench(command) => bench::run(&command),
         Command::Replay { record, config } => replay(&record, config.as_deref()),
     }
@@ -225,6 +244,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn check_alerts(file: &Path) -> Result<ExitCode> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    match peppercove_alerts::check(&text) {
+        Ok(count) => {
+            println!("{}: valid; {count} rules", file.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(problems) => {
+            let lines: Vec<String> = problems.iter().map(|p| format!("{}: {p}", file.display())).collect();
+            bail!("alert rules are not valid\n{}", lines.join("\n"))
+        }
+    }
+}
+
 fn replay(file: &Path, config: Option<&Path>) -> Result<ExitCode> {
     let config = match config {
         Some(file) => read_config(file)?,
