A node's claim of what it holds is bounded; shares of the push are decided outside the sockets

Read over once more: a greeting could make a controller collect four billion standing tasks, bounded only by time; the bound is limits/jobs, and the test hangs for its own time-out without it.

--- a/crates/controller/src/link.rs
+++ b/crates/controller/src/link.rs
@@ -34,6 +34,8 @@
     WrongName(String),
     #[error("the node speaks version {0}")]
     WrongVersion(u16),
+    #[error("the node says that it holds {0} tasks of this controller, more than limits/jobs")]
+    TooMuch(u32),
     #[error("a greeting was expected")]
     NotGreeted,
 }
@@ -98,6 +100,10 @@
         FromNode::Welcome { node, standing, .. } => (node, standing),
         _ => return Err(LinkError::NotGreeted),
     };
+    // A node is not trusted to hold no more than this controller could ever have sent.
+    if left as usize > shell.config.limits.jobs {
+        return Err(LinkError::TooMuch(left));
+    }
     let mut standing = Vec::new();
     while left > 0 {
         match link.next().await.ok_or(LinkError::Closed)?? {
--- a/crates/controller/src/push.rs
+++ b/crates/controller/src/push.rs
@@ -1,12 +1,13 @@
 //! Pushing the figures: taken, kept on disk and sent as background work, which gives way to placing.
 
 use crate::shell::Shell;
-use peppercove_background::{Action, Background, Class, Cost, Event, Retry, Settings as Shares, WorkId};
+use peppercove_background::{Action, Background, Cost, Event, WorkId};
 use peppercove_config::Push;
 use peppercove_metrics as names;
 use peppercove_push::backlog::{Backlog, Bounds, Lost};
 use peppercove_push::encode::{ENCODING, Version, encode};
 use peppercove_push::sender::{Outcome, Sender, Settings, Step, Verdict};
+use peppercove_push::shares::{self, Duty, LOOK};
 use peppercove_push::{Sample, samples};
 use std::io;
 use std::rc::Rc;
@@ -17,11 +18,6 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// Work of the pusher, by its class of background work.
-const TAKE: usize = 0;
-const SEND: usize = 1;
-/// How often the pusher looks at the time, and so at how late the daemon's loop is.
-const LOOK: Duration = Duration::from_millis(20);
 /// Longest head of an answer, in bytes.
 const LONGEST_HEAD: usize = 16 << 10;
 
@@ -55,19 +51,8 @@
             per_second: settings.per_second,
         };
         let now = shell.clock.now();
-        let retry = Retry { least: 1, most: 1, tries: 1 };
-        // Figures are taken before others are sent: what is not taken in time is lost, what waits is not.
-        let class = |priority| Class { priority, budget: Cost::default(), queue: 1, slots: 1, retry };
-        let shares = Shares {
-            classes: vec![class(1), class(0)],
-            slots: 2,
-            calm_share: settings.share,
-            pressed_share: settings.pressed_share.min(settings.share),
-            calm_below: micros(settings.calm_below),
-            pressed_from: micros(settings.pressed_from),
-            ages_every: 1_000_000,
-            pressure_lasts: 1_000_000,
-        };
+        let (calm, pressed) = (micros(settings.calm_below), micros(settings.pressed_from));
+        let shares = shares::settings(settings.share, settings.pressed_share, calm, pressed);
         Ok(Pusher {
             sender: Sender::new(sender, now, fastrand::u64(..)),
             background: Background::new(shares, fastrand::u64(..)),
@@ -85,7 +70,7 @@
     pub(crate) async fn keep(mut self, shell: Rc<Shell>) {
         let (told, mut outcomes) = mpsc::channel::<(WorkId, usize, Outcome)>(1);
         loop {
-            let due = tokio::time::Instant::now() + LOOK;
+            let due = tokio::time::Instant::now() + Duration::from_micros(LOOK);
             let mut actions = Vec::new();
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {
@@ -113,20 +98,20 @@
         let mut actions = Vec::new();
         if !self.taking && now >= self.next_take {
             self.taking = true;
-            actions.extend(self.submit(now, TAKE, 2_000.0));
+            actions.extend(self.submit(now, Duty::Take));
         }
         if !self.sending && self.backlog.bytes() > 0 {
             self.sending = true;
-            actions.extend(self.submit(now, SEND, 5_000.0));
+            actions.extend(self.submit(now, Duty::Send));
         }
         actions
     }
 
-    fn submit(&mut self, now: u64, class: usize, cpu: f64) -> Vec<Action> {
+    fn submit(&mut self, now: u64, duty: Duty) -> Vec<Action> {
         // The number of a work names its class, so that a start needs no table.
         self.next_work += 1;
+        let (class, cost) = (duty.class(), duty.expected());
         let work = WorkId(self.next_work * 2 + class as u64);
-        let cost = Cost { cpu, bytes: 0.0, requests: 0.0 };
         self.background.handle(now, Event::Submit { work, class, cost, deadline: None })
     }
 
@@ -134,7 +119,7 @@
         &mut self, shell: &Rc<Shell>, work: WorkId, told: &mpsc::Sender<(WorkId, usize, Outcome)>,
     ) -> Vec<Action> {
         let began = Instant::now();
-        if work.0 % 2 == TAKE as u64 {
+        if work.0 % 2 == Duty::Take as u64 {
             self.take(shell);
             return self.finish(shell, work, began.elapsed());
         }
@@ -158,7 +143,7 @@
     }
 
     fn finish(&mut self, shell: &Shell, work: WorkId, took: Duration) -> Vec<Action> {
-        if work.0 % 2 == TAKE as u64 {
+        if work.0 % 2 == Duty::Take as u64 {
             self.taking = false;
         } else {
             self.sending = false;
--- a/crates/controller/tests/front.rs
+++ b/crates/controller/tests/front.rs
@@ -358,3 +358,58 @@
         }
     });
 }
+
+#[test]
+fn a_node_that_claims_to_hold_more_than_there_could_be_is_not_linked() {
+    use peppercove_protocol::codec::{Messages, NODE_FRAME};
+    use peppercove_protocol::list::{FromList, Line, NodeState, Scope, ToList};
+    use peppercove_protocol::node::{FromNode, Party, ToNode};
+    on_loopback(async {
+        let node = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let list = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let std::net::SocketAddr::V4(address) = node.local_addr().unwrap() else { unreachable!() };
+        let mut config = Config::parse(embedded_default()).unwrap();
+        config.listen.node_list = list.local_addr().unwrap();
+        // Long enough that only the bound can close the link.
+        config.listen.connect_timeout = Duration::from_secs(600);
+        let controller = Controller::start(config).await.unwrap();
+        tokio::task::spawn_local(async move {
+            let (stream, _) = list.accept().await.unwrap();
+            let mut link = Framed::new(stream, Messages::<ToList, FromList>::new(1 << 16));
+            while let Some(Ok(call)) = link.next().await {
+                let line = Line {
+                    address,
+                    name: "n".into(),
+                    state: NodeState::Ready,
+                    kind: 0,
+                    rack: 0,
+                    zone: 0,
+                    life: 1,
+                    age: None,
+                    free_cores: None,
+                    free_memory: None,
+                };
+                let answer = match call {
+                    ToList::Hello { version, .. } => FromList::Welcome { version },
+                    _ => FromList::News { generation: 1, scope: Scope::Full, lines: vec![line] },
+                };
+                link.send(&answer).await.unwrap();
+            }
+        });
+        for standing in [u32::MAX, 0] {
+            let (stream, _) = node.accept().await.unwrap();
+            let mut link = Framed::new(stream, Messages::<ToNode, FromNode>::new(NODE_FRAME));
+            let Some(Ok(ToNode::Hello { version, .. })) = link.next().await else { panic!("no greeting") };
+            let welcome = FromNode::Welcome { version, node: Party { name: "n".into(), life: 1 }, standing };
+            link.send(&welcome).await.unwrap();
+            if standing > 0 {
+                // Closed at once, not after what it promised has been waited for.
+                let closed = tokio::time::timeout(Duration::from_secs(20), link.next()).await;
+                assert!(matches!(closed, Ok(None)));
+                assert_eq!(controller.status().nodes_up, 0);
+            } else {
+                until(|| controller.status().nodes_up == 1).await;
+            }
+        }
+    });
+}
--- a/crates/push/src/lib.rs
+++ b/crates/push/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backlog;
 pub mod encode;
 pub mod sender;
+pub mod shares;
 
 use serde::{Deserialize, Serialize};
 
