--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -150,6 +150,8 @@
     pub fall_window: Micros,
     /// How long the machine itself may have stalled; added to every bound of time.
     pub stall: Micros,
+    /// How long a node's word may take from where it was seen to the controller: until then it cannot know.
+    pub travel: Micros,
 }
 
 /// One start that a node counted.
--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -56,6 +56,8 @@
     expires: Micros,
     work: Work,
     stand: Stand,
+    /// When its node said so.
+    heard: Micros,
     /// Life of the node when it was sent, as its greeting told it.
     node_life: Option<u64>,
 }
@@ -125,7 +127,7 @@
     fn hear(&mut self, at: Micros, seen: &Seen) {
         match seen {
             Seen::ToNode { controller, node, message } => self.hear_controller(at, controller, node, message),
-            Seen::FromNode { controller, node, message } => self.hear_node(controller, node, message),
+            Seen::FromNode { controller, node, message } => self.hear_node(at, controller, node, message),
             Seen::LinkClosed { controller, node } => {
                 self.links.insert((controller.name.clone(), node.clone()), false);
                 for a in self.attempts.iter_mut().filter(|a| a.controller == *controller && a.node == *node) {
@@ -271,6 +273,10 @@
             let a = &self.attempts[i];
             match (work.repeat, a.stand) {
                 (_, Stand::Out) => found.push(format!("task {:x} has two attempts out", work.task)),
+                // Its node's word is on its way: the controller may send it once more within its group.
+                (Repeat::Keyed, Stand::Runs) if at < a.heard + self.figures.travel => {
+                    found.extend(self.keyed_again(at, controller, node, work, a));
+                }
                 (Repeat::Unsafe | Repeat::Keyed, Stand::Runs) => {
                     found.push(format!("task {:x} is offered again while it runs on {}", work.task, a.node));
                 }
@@ -302,6 +308,7 @@
             expires: at + expires_in,
             work: work.clone(),
             stand: Stand::Out,
+            heard: 0,
             node_life: self.lives.get(&(controller.name.clone(), node.to_owned())).copied(),
         });
     }
@@ -354,7 +361,25 @@
         self.attempts.get_mut(i)
     }
 
-    fn hear_node(&mut self, controller: &Party, node: &str, message: &FromNode) {
+    fn hear_node(&mut self, at: Micros, controller: &Party, node: &str, message: &FromNode) {
+        self.hear_word(at, controller, node, message);
+        // What follows a greeting and belongs to it is counted by the greeting itself.
+        let named = match message {
+            FromNode::Welcome { .. } => None,
+            FromNode::Standing { life, attempt, .. } => {
+                Some((Party { name: controller.name.clone(), life: *life }, *attempt))
+            }
+            FromNode::Ended { attempt, .. } => Some((controller.clone(), *attempt)),
+            _ => return,
+        };
+        if let Some(roll) = self.rolls.get_mut(&(controller.clone(), node.to_owned())) {
+            roll.left -= u32::from(named.is_some() && roll.left > 0);
+            roll.named.extend(named);
+            self.called(controller, node);
+        }
+    }
+
+    fn hear_word(&mut self, at: Micros, controller: &Party, node: &str, message: &FromNode) {
         let (id, stand) = match message {
             FromNode::Running { attempt, .. } => (*attempt, Stand::Runs),
             FromNode::Refused { attempt, .. } => (*attempt, Stand::NeverRan),
@@ -372,26 +397,25 @@
                 }
                 let roll = Roll { left: *standing, life: told.life, named: Vec::new() };
                 self.rolls.insert((controller.clone(), node.to_owned()), roll);
-                return self.called(controller, node);
+                return;
             }
             FromNode::Standing { life, attempt, ended, .. } => {
                 let party = Party { name: controller.name.clone(), life: *life };
                 if let Some(a) = self.attempt(&party, *attempt, node)
                     && a.stand != Stand::Over
                 {
-                    a.stand = if ended.is_some() { Stand::Over } else { Stand::Runs };
-                }
-                if let Some(roll) = self.rolls.get_mut(&(controller.clone(), node.to_owned())) {
-                    roll.left = roll.left.saturating_sub(1);
-                    roll.named.push((party, *attempt));
+                    let stand = if ended.is_some() { Stand::Over } else { Stand::Runs };
+                    a.heard = if a.stand == stand { a.heard } else { at };
+                    a.stand = stand;
                 }
-                return self.called(controller, node);
+                return;
             }
             _ => return,
         };
         if let Some(a) = self.attempt(controller, id, node) {
             // What is over stays over; a second word on it proves nothing.
             if !matches!(a.stand, Stand::Over | Stand::NeverRan) {
+                a.heard = if a.stand == stand { a.heard } else { at };
                 a.stand = stand;
             }
         }
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -22,6 +22,7 @@
         warm_within: 10_000 * MS,
         cold_bears: 3,
         fall_window: 2_000 * MS,
+        travel: 0,
         stall: 0,
     }
 }
@@ -207,6 +208,21 @@
     assert_eq!(again("b", 5_001 * MS), [2], "past the window");
 }
 
+#[test]
+fn rule_2_a_keyed_task_that_runs_is_sent_again_only_while_that_word_is_on_its_way() {
+    let broken = |node: &str, at: Micros, travel: Micros| {
+        let mut day = Day::new();
+        day.offer(0, "a", id(1, 0), work(1, 1)).withdraw(MS, "a", id(1, 0));
+        let running = FromNode::Running { attempt: id(1, 0), load: None };
+        day.says(2 * MS, "a", running).offer(at, node, id(1, 1), work(1, 1));
+        judge(&day.0, &[], &Figures { travel, ..figures() }).of_rule(2)
+    };
+    assert_eq!(broken("b", 3 * MS, 2 * MS), 0);
+    assert_eq!(broken("b", 3 * MS, 0), 1, "it was told before");
+    assert_eq!(broken("b", 4 * MS, 2 * MS), 1, "it was told by then");
+    assert_eq!(broken("c", 3 * MS, 2 * MS), 1, "another rack");
+}
+
 #[test]
 fn rule_2_starts_that_the_nodes_counted() {
     let start = |at, ended, completed, rack, repeat| Started {
--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -149,7 +149,7 @@
                     message = link.next() => match message {
                         Some(Ok(ToNode::Hello { .. })) => {
                             let node = Party { name: format!("n{number}"), life: 1 };
-                            let welcome = FromNode::Welcome { version: VERSION, node, standing: 0 };
+                            let welcome = FromNode::Welcome { version: VERSION, node, standing: 0, whole: true };
                             if link.send(&welcome).await.is_err() { return }
                         }
                         Some(Ok(ToNode::Offer { attempt, work, .. })) => {
--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -57,7 +57,16 @@
                     let next = queue.lock().ok().and_then(|mut q| q.pop());
                     let Some((script, seed)) = next else { return };
                     let report = if arguments.kernel {
-                        Ok(peppercove_kernel::play(script, seed))
+                        let (report, events) = peppercove_kernel::play_seen(script, seed);
+                        match &arguments.records {
+                            Some(folder) => peppercove_day::play::write_taps(
+                                &folder.join(format!("taps-{}-{seed}.txt", script.name)),
+                                &events,
+                            )
+                            .map(|()| report)
+                            .map_err(Into::into),
+                            None => Ok(report),
+                        }
                     } else {
                         play(script, seed, arguments.records.clone())
                     };
--- a/crates/cli/src/hunt.rs
+++ b/crates/cli/src/hunt.rs
@@ -36,6 +36,12 @@
     /// Plays that making one smaller may take.
     #[arg(long, default_value_t = 400)]
     shrink_plays: usize,
+    /// Print the day of the first seed as XML and play nothing.
+    #[arg(long)]
+    show: bool,
+    /// Stop at the first day that fails.
+    #[arg(long)]
+    first: bool,
     /// Also show which pairs of faults overlapped, and on how many days.
     #[arg(long)]
     pairs: bool,
@@ -43,6 +49,10 @@
 
 /// Plays the days; exit status 1 when a rule was broken.
 pub(crate) fn run(arguments: &HuntArguments) -> Result<ExitCode> {
+    if arguments.show {
+        print!("{}", Plan::random(arguments.from).xml());
+        return Ok(ExitCode::SUCCESS);
+    }
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let jobs = arguments.jobs.unwrap_or(cores).clamp(1, 256);
     let bar = ProgressBar::new(arguments.days);
@@ -60,7 +70,8 @@
                 let mut own = Sum::default();
                 loop {
                     let i = next.fetch_add(1, Ordering::Relaxed);
-                    if i >= arguments.days {
+                    let enough = arguments.first && failed.lock().is_ok_and(|f| !f.is_empty());
+                    if i >= arguments.days || enough {
                         break;
                     }
                     let seed = arguments.from + i;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -273,7 +273,7 @@
         serde_json::from_str(first).context("the first line is not the head of a record")?;
     let limits: Limits = peppercove_controller::limits(&config, head.life);
     let scheduler = peppercove::Scheduler::new(head.module(&config.module), head.seed);
-    record::replay(rest, scheduler, limits, |line, outputs| {
+    record::replay(&head, rest, scheduler, limits, |line, outputs| {
         for output in outputs {
             println!("{} {output:?}", line.at);
         }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -69,6 +69,18 @@
                     Some(""),
                     "File to which all that the core is told is written, for replay.",
                 ),
+                attribute(
+                    "journal",
+                    Kind::Text,
+                    Some(""),
+                    "File to which each attempt is written before it is sent, so that the next life knows of it.",
+                ),
+                attribute(
+                    "journal-sync",
+                    Kind::Flag,
+                    Some("false"),
+                    "Wait for the disk at each write, so that the journal outlives the machine and not the process alone.",
+                ),
             ],
             children: &[],
         },
@@ -612,6 +624,10 @@
     pub stop_within: Duration,
     /// File for the record of what the core is told.
     pub record: Option<PathBuf>,
+    /// File for the journal of what was sent.
+    pub journal: Option<PathBuf>,
+    /// The journal waits for the disk.
+    pub journal_sync: bool,
     /// Sockets.
     pub listen: Listen,
     /// Where figures are pushed, if anywhere.
@@ -743,6 +759,8 @@
         seed: controller.text("seed").and_then(|s| s.parse().ok()),
         stop_within: controller.span("stop-within"),
         record: controller.text("record").map(PathBuf::from),
+        journal: controller.text("journal").map(PathBuf::from),
+        journal_sync: controller.text("journal-sync") == Some("true"),
         listen: Listen {
             clients: controller.address("clients"),
             node_list: list.address("address"),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 //! submissions, the links ([`link`], [`listing`]) turn frames into inputs and outputs into frames.
 
 mod figures;
+mod journal;
 mod link;
 mod listing;
 mod peers;
@@ -14,6 +15,7 @@
 mod shell;
 pub mod template;
 
+pub use journal::JournalError;
 pub use peppercove_exchange::limits;
 
 use peppercove_config::Config;
@@ -48,6 +50,14 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The journal of what was sent cannot be used.
+    #[error("cannot use the journal {path}: {source}")]
+    Journal {
+        /// The file.
+        path: std::path::PathBuf,
+        /// What is wrong with it.
+        source: JournalError,
+    },
     /// Its record could not be written.
     #[error("cannot write the record {path}: {source}")]
     Record {
--- a/crates/controller/src/link.rs
+++ b/crates/controller/src/link.rs
@@ -71,15 +71,18 @@
     let mut greeting = Greeting::new(node, name, shell.config.limits.jobs);
     let mut replies = Vec::new();
     let up = loop {
-        match greeting.hear(link.next().await.ok_or(LinkError::Closed)??)? {
-            Step::Up(input) => break input,
-            Step::More(None) => {}
-            Step::More(Some(Heard { input, reply })) => {
-                replies.extend(reply);
-                if let Some(input) = input {
-                    shell.input(input);
-                }
+        let (meanwhile, up) = match greeting.hear(link.next().await.ok_or(LinkError::Closed)??)? {
+            Step::More(meanwhile) => (meanwhile, None),
+            Step::Up(meanwhile, up) => (meanwhile, Some(up)),
+        };
+        if let Some(Heard { input, reply }) = meanwhile {
+            if let Some(input) = input {
+                shell.input(input);
             }
+            replies.extend(reply.filter(|_| shell.is_written()));
+        }
+        if let Some(up) = up {
+            break up;
         }
     };
     let (sender, queue) = mpsc::channel(shell.config.limits.node_queue);
@@ -142,7 +145,8 @@
     if let Some(input) = message.input {
         shell.input(input);
     }
-    if let Some(reply) = message.reply {
+    // An end that is not written down is not acknowledged: its node tells it again.
+    if let Some(reply) = message.reply.filter(|_| shell.is_written()) {
         shell.send(node, reply);
     }
 }
--- a/crates/controller/src/session.rs
+++ b/crates/controller/src/session.rs
@@ -374,6 +374,7 @@
         TurnedAway::Stopping(_) => "stopping",
         TurnedAway::InDoubt(_) => "in-doubt",
         TurnedAway::RanAlready => "ran-already",
+        TurnedAway::NotKnown => "not-known",
         TurnedAway::TaskTaken(_) => "task-taken",
         TurnedAway::NoSuchJob => "no-such-job",
         TurnedAway::WrongState(_) => "wrong-state",
@@ -389,6 +390,10 @@
         TurnedAway::RanAlready => {
             Fault::drmaa(Errno::DeniedByDrm, "the task ran, or may have run, and must not be started twice")
         }
+        TurnedAway::NotKnown => {
+            let what = "the task was asked for before this controller started, which keeps no journal of what it sends";
+            Fault::drmaa(Errno::DeniedByDrm, what)
+        }
         TurnedAway::TaskTaken(job) => {
             let what = format!("the task is that of job {}, which is not finished", shell.job_name(job));
             Fault::drmaa(Errno::DeniedByDrm, what)
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -2,10 +2,12 @@
 
 use crate::StartError;
 use crate::figures::Figures;
+use crate::journal::Journal;
 use crate::link;
 use crate::session::Sessions;
 use peppercove::{MachineId, Micros, Scheduler};
 use peppercove_config::Config;
+use peppercove_core::evidence::Entry;
 use peppercove_core::{Answer, Core, End, Input, Job, JobId, JobState, Output, record};
 use peppercove_exchange::{frame, limits};
 use peppercove_metrics as names;
@@ -70,6 +72,7 @@
     /// Messages to other controllers, where the settings name any.
     pub(crate) peers: RefCell<Option<mpsc::Sender<Vec<u8>>>>,
     record: Option<RefCell<BufWriter<File>>>,
+    journal: Option<RefCell<Journal>>,
     pub(crate) figures: Figures,
     me: RefCell<std::rc::Weak<Shell>>,
 }
@@ -81,19 +84,34 @@
         // Lives only have to differ: the time of the start, scattered so that two in one microsecond do as well.
         let life = clock.now() ^ (fastrand::u64(..) & 0xfff) << 52;
         let (limits, began) = (limits(&config, life), clock.now());
+        let mut core = Core::new(Scheduler::new(config.module.clone(), seed), limits);
+        let mut recovered = Vec::new();
+        let journal = match &config.journal {
+            Some(path) => {
+                let wrong = |source| StartError::Journal { path: path.clone(), source };
+                let (mut journal, entries) =
+                    Journal::open(path, &config.name, config.journal_sync).map_err(wrong)?;
+                core.recover(began, &entries);
+                // What is settled is left out of the new file.
+                journal.replace(&core.snapshot()).map_err(wrong)?;
+                tracing::info!(entries = entries.len(), open = core.doubtful_tasks(), "journal read");
+                recovered = entries;
+                Some(RefCell::new(journal))
+            }
+            None => None,
+        };
         let record = match &config.record {
             Some(path) => {
                 let file =
                     File::create(path).map_err(|source| StartError::Record { path: path.clone(), source })?;
                 let mut file = BufWriter::new(file);
                 let schedulers = (config.module.schedulers, config.module.own_number);
-                let head = record::Head { seed, life, schedulers };
+                let head = record::Head { seed, life, schedulers, began, journal: recovered };
                 let _ = writeln!(file, "{}", serde_json::to_string(&head).unwrap_or_default());
                 Some(RefCell::new(file))
             }
             None => None,
         };
-        let core = Core::new(Scheduler::new(config.module.clone(), seed), limits);
         Ok(Shell {
             config,
             life,
@@ -108,6 +126,7 @@
             tickets: Cell::new(0),
             peers: RefCell::default(),
             record,
+            journal,
             figures: Figures::new(began),
             me: RefCell::default(),
         })
@@ -133,6 +152,7 @@
                 self.carry_out(output, &mut inputs, &mut answers);
             }
         }
+        self.tend_journal();
         // A wake that is due later than the one waited for can be set then.
         let next = self.core.borrow().next_wake();
         if next.is_some_and(|at| self.armed.get().is_none_or(|armed| at < armed)) {
@@ -175,9 +195,11 @@
                     link.task.abort();
                 }
             }
+            Output::Journal(entries) => self.write_down(&entries),
             Output::Offer { node, request, attempt, .. } => {
                 self.figures.add(names::ATTEMPTS, &[], 1.0);
-                if !self.send_output(&output) {
+                // What is not written down does not leave: it would be unknown to the next life.
+                if !self.is_written() || !self.send_output(&output) {
                     inputs.push_back(Input::Unsent { node, request, attempt });
                 }
             }
@@ -198,6 +220,31 @@
         }
     }
 
+    fn write_down(&self, entries: &[Entry]) {
+        let Some(journal) = &self.journal else { return };
+        let mut journal = journal.borrow_mut();
+        if let Err(error) = journal.write(entries) {
+            tracing::error!(%error, "the journal cannot be written: nothing is offered until it can");
+        }
+    }
+
+    /// All that was to be written down is.
+    pub(crate) fn is_written(&self) -> bool {
+        self.journal.as_ref().is_none_or(|journal| journal.borrow().is_whole())
+    }
+
+    /// A journal that has grown is written anew with what still counts; one that failed is tried again.
+    fn tend_journal(&self) {
+        let Some(journal) = &self.journal else { return };
+        let mut journal = journal.borrow_mut();
+        if !journal.is_whole() || journal.is_long() {
+            let snapshot = self.core.borrow().snapshot();
+            if let Err(error) = journal.replace(&snapshot) {
+                tracing::error!(%error, "the journal cannot be written anew");
+            }
+        }
+    }
+
     /// Queues the frame that an output is; false where there is no link or its queue is full.
     fn send_output(&self, output: &Output) -> bool {
         let core = self.core.borrow();
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -2,16 +2,16 @@
 
 use crate::Decide;
 use crate::alarms::Alarms;
-use crate::fates::{Copy as StrayCopy, Fates, Trace, Verdict};
+use crate::evidence::{Copy, Entry, Evidence, Of, Past, Stray, Trace, Verdict};
 use crate::jobs::{Answer, End, JobId, JobState, Jobs, Submission};
-use crate::life::{Ask, Attempt, Life};
+use crate::life::{After, Ask, Attempt, Life};
 use crate::nodes::{Link, NodeLine, Nodes};
 use peppercove::{
     Action, Class, Confirms, Event, ListScope, Load, MachineId, MachineState, Micros, Note, Outcome, Repeat,
-    Request, RequestId, Why,
+    Request, RequestId, Spread, TaskKey, Why,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 
 /// What bounds a core, all from the settings.
@@ -39,8 +39,10 @@
     pub settle: Micros,
     /// How long a fate is remembered.
     pub fate_memory: Micros,
-    /// Tasks whose fate may be in doubt at once.
+    /// Copies of tasks that nobody waits for and whose fate may be open at once.
     pub most_fates: usize,
+    /// What is sent is written down, and the next life is told of it.
+    pub journal: bool,
     /// A task on a node that cannot be reached counts as lost after this.
     pub lost_after: Micros,
 }
@@ -58,6 +60,8 @@
     pub submission: Submission,
     /// It ended while nobody could be told.
     pub ended: Option<End>,
+    /// Why, where its node gave it up.
+    pub why: Why,
 }
 
 /// What a node says of one attempt.
@@ -132,6 +136,8 @@
         node: MachineId,
         /// Its life.
         life: u64,
+        /// It has forgotten nothing that it held of this controller.
+        whole: bool,
         /// What it holds.
         standing: Vec<Standing>,
     },
@@ -192,6 +198,8 @@
     InDoubt(Micros),
     /// The task ran, or may have: it will not be started again.
     RanAlready,
+    /// The task was asked for before, and what became of it is not known here: without a journal, not by this life.
+    NotKnown,
     /// The task is another job's, which is not finished.
     TaskTaken(JobId),
     /// There is no such job.
@@ -299,6 +307,8 @@
         /// The attempt in that life.
         attempt: u16,
     },
+    /// Write these down before anything that follows is sent.
+    Journal(Vec<Entry>),
     /// Subscribe to the node list.
     Watch,
     /// Ask a node for its load.
@@ -386,7 +396,11 @@
     open: usize,
     jobs: Jobs,
     nodes: Nodes,
-    fates: Fates,
+    evidence: Evidence,
+    /// Copies that may run and that the module counts as standing, by the ask that it was told of.
+    ghosts: BTreeMap<Copy, RequestId>,
+    /// Tasks that this life saw asked for the first time; the oldest are forgotten.
+    first_seen: (BTreeSet<TaskKey>, VecDeque<TaskKey>),
     alarms: Alarms<Alarm>,
     next_request: u64,
     now: Micros,
@@ -409,7 +423,9 @@
         Core {
             decider,
             jobs: Jobs::new(limits.most_jobs),
-            fates: Fates::new(limits.settle, limits.fate_memory, limits.most_fates),
+            evidence: Evidence::new(limits.settle, limits.fate_memory, limits.most_fates),
+            ghosts: BTreeMap::new(),
+            first_seen: Default::default(),
             limits,
             asks: BTreeMap::new(),
             open: 0,
@@ -467,12 +483,12 @@
 
     /// Tasks whose fate is in doubt.
     pub fn doubtful_tasks(&self) -> usize {
-        self.fates.len()
+        self.evidence.doubtful()
     }
 
     /// When it wants to be called at the latest.
     pub fn next_wake(&self) -> Option<Micros> {
-        [self.alarms.next(), self.fates.next()].into_iter().flatten().min()
+        [self.alarms.next(), self.evidence.next()].into_iter().flatten().min()
     }
 
     /// Takes one input in and answers with what to do, in order.
@@ -491,14 +507,39 @@
             for action in actions {
                 self.act(action);
             }
+            self.write_down();
             rounds += 1;
             if rounds >= MOST_ROUNDS {
                 break;
             }
         }
+        self.write_down();
         std::mem::take(&mut self.out)
     }
 
+    /// What is known must be on its way to the disk before a message that leaves because of it.
+    fn write_down(&mut self) {
+        let entries = self.evidence.take_journal();
+        if self.limits.journal && !entries.is_empty() {
+            self.out.push(Output::Journal(entries));
+        }
+    }
+
+    /// Takes in what earlier lives wrote down, before anything else: their copies may run, and are counted.
+    pub fn recover(&mut self, now: Micros, entries: &[Entry]) {
+        self.now = self.now.max(now);
+        self.evidence.recover(self.now, entries);
+        let open: Vec<(Copy, Of)> = self.evidence.open().collect();
+        for (copy, of) in open {
+            self.haunt(copy, of);
+        }
+    }
+
+    /// All that the next life must know, in as few entries as can say it.
+    pub fn snapshot(&self) -> Vec<Entry> {
+        self.evidence.snapshot()
+    }
+
     fn ring(&mut self) {
         while let Some(alarm) = self.alarms.due(self.now) {
             match alarm {
@@ -508,8 +549,16 @@
                 Alarm::Lost(node) => self.on_lost(node),
             }
         }
-        for trace in self.fates.due(self.now) {
-            self.stop_stray(trace);
+        let due = self.evidence.due(self.now, self.limits.life);
+        for copy in due.stop {
+            self.stop_copy(copy);
+        }
+        for Copy { at, .. } in due.recall {
+            if self.nodes.is_up(at.node) {
+                // Its node answers with what it knows of the attempt, or refuses it for ever.
+                let Trace { node, request, attempt } = at;
+                self.out.push(Output::Withdraw { node, request, attempt });
+            }
         }
     }
 
@@ -526,7 +575,7 @@
             Input::Dispose(job) => {
                 self.jobs.remove(job);
             }
-            Input::LinkUp { node, life, standing } => self.on_link_up(node, life, standing),
+            Input::LinkUp { node, life, whole, standing } => self.on_link_up(node, life, whole, standing),
             Input::LinkDown(node) => self.on_link_down(node),
             Input::News { node, request, attempt, news, load } => {
                 self.on_news(Trace { node, request, attempt }, news, load);
@@ -552,10 +601,20 @@
         let (told, changes) = self.nodes.take_in(self.now, scope, generation, lines);
         self.events.push(Event::MachineList { scope, version: generation, lines: told });
         for node in changes.added {
+            for (copy, of) in self.evidence.back(node) {
+                self.haunt(copy, of);
+            }
             if let Some(n) = self.nodes.get(node) {
                 self.out.push(Output::Connect { node, address: n.address, name: n.name.clone() });
             }
         }
+        if scope != ListScope::Delta {
+            // Nodes of an earlier life that no list names any more can tell nothing.
+            let unknown = self.evidence.nodes().into_iter().filter(|n| self.nodes.get(*n).is_none());
+            for node in unknown.collect::<Vec<_>>() {
+                self.node_is_gone(node);
+            }
+        }
         for node in changes.gone {
             if self.nodes.is_up(node) {
                 self.let_go(node);
@@ -570,7 +629,7 @@
         let gone = self.nodes.get(node).is_some_and(|n| n.line.state == MachineState::Gone);
         let holds = |a: &Ask| a.attempts.iter().any(|t| t.node == node && t.ended.is_none());
         if gone && !self.asks.values().any(holds) {
-            self.fates.holds(self.now, node, false, &[]);
+            self.node_is_gone(node);
             self.nodes.forget(node);
             self.out.push(Output::Disconnect(node));
         }
@@ -583,55 +642,106 @@
             self.out.push(Output::Accepted { ticket, job });
             return;
         }
-        let verdict = match self.class(submission.class).map(|c| c.repeat) {
-            Some(Repeat::Unsafe) => self.fates.ask(submission.task),
-            _ => Verdict::Free,
-        };
+        if let Some(job) = self.jobs.claimed(&submission) {
+            // A task of an earlier life that runs on is its owner's again.
+            self.out.push(Output::Accepted { ticket, job });
+            if let Some(Answer::Placed(node)) = self.jobs.get(job).and_then(|j| j.answer) {
+                self.counters.placed += 1;
+                self.out.push(Output::Settled { job, answer: Answer::Placed(node) });
+            }
+            return;
+        }
+        let strict = self.is_strict(submission.class);
+        let verdict = self.evidence.ask(submission.task, strict);
         if let Some(why) = self.turned_away(&submission, verdict) {
+            self.remember_first(&submission);
             self.counters.turned_away += 1;
             self.out.push(Output::TurnedAway { ticket, why });
             return;
         }
+        self.remember_first(&submission);
         self.counters.submitted += 1;
-        let held = submission.held && !matches!(verdict, Verdict::TakeOver(_));
+        let held = submission.held && matches!(verdict, Verdict::Free);
         let state = if held { JobState::OnHold } else { JobState::Queued };
         let job = self.jobs.add(submission, state);
         self.out.push(Output::Accepted { ticket, job });
         match verdict {
-            Verdict::TakeOver(trace) => self.take_over(job, trace),
+            Verdict::TakeOver(copy) => self.take_over(job, copy),
+            Verdict::Ran(node, end) => {
+                self.settle_job(job, Answer::Placed(node));
+                if let Some(j) = self.jobs.get_mut(job) {
+                    j.end = Some(end);
+                }
+                self.finish(job, JobState::Done);
+            }
             _ if !held => self.ask(job),
             _ => {}
         }
     }
 
-    /// What an earlier life of this controller sent is not known. An unsafe task that was asked for before waits
-    /// until each node had the time to tell what it holds.
-    fn asked_too_soon(&self, submission: &Submission) -> Option<Micros> {
-        let until = self.born?.saturating_add(self.limits.settle);
-        (submission.again && until > self.now).then(|| until - self.now)
+    /// A second effect of the class's tasks would do harm, or is harmless only within its group and window.
+    fn is_strict(&self, class: u16) -> bool {
+        self.class(class).is_none_or(|c| c.repeat != Repeat::Safe)
+    }
+
+    /// Copies of the class are kept in the evidence.
+    fn is_kept(&self, class: u16) -> bool {
+        self.is_strict(class) || self.class(class).is_some_and(|c| c.spread != Spread::Off)
+    }
+
+    fn remember_first(&mut self, submission: &Submission) {
+        if submission.again || self.limits.journal || !self.is_strict(submission.class) {
+            return;
+        }
+        let (seen, order) = &mut self.first_seen;
+        if seen.insert(submission.task) {
+            order.push_back(submission.task);
+        }
+        while order.len() > self.limits.most_jobs {
+            if let Some(oldest) = order.pop_front() {
+                seen.remove(&oldest);
+            }
+        }
+    }
+
+    /// Without a journal a life does not know what earlier ones sent. A task that was asked for before, and not first
+    /// in this life, waits until each node has told what it holds; after that it is found among that, or nobody knows.
+    fn not_known(&self, submission: &Submission) -> Option<TurnedAway> {
+        let known = self.limits.journal
+            || !submission.again
+            || !self.is_strict(submission.class)
+            || self.first_seen.0.contains(&submission.task)
+            || self.evidence.copies(submission.task).next().is_some();
+        if known {
+            return None;
+        }
+        let told = self.nodes.generation > 0
+            && self.nodes.iter().all(|(_, n)| n.link == Link::Up || n.line.state == MachineState::Gone);
+        Some(if told { TurnedAway::NotKnown } else { TurnedAway::InDoubt(self.limits.settle) })
     }
 
     fn turned_away(&self, submission: &Submission, verdict: Verdict) -> Option<TurnedAway> {
         let unfinished = self.jobs.unfinished(&submission.session);
-        let unsafe_class = self.class(submission.class).is_some_and(|c| c.repeat == Repeat::Unsafe);
         if self.stopping {
             return Some(TurnedAway::Stopping(self.limits.retry_after));
         }
         if let Some(job) = self.jobs.by_task(submission.task) {
             return Some(TurnedAway::TaskTaken(job));
         }
-        if let (true, Some(after)) = (unsafe_class, self.asked_too_soon(submission)) {
-            return Some(TurnedAway::InDoubt(after));
-        }
         match verdict {
             Verdict::Later(after) => return Some(TurnedAway::InDoubt(after)),
             Verdict::Never => return Some(TurnedAway::RanAlready),
-            Verdict::Free | Verdict::TakeOver(_) => {}
+            Verdict::Free => {
+                if let Some(why) = self.not_known(submission) {
+                    return Some(why);
+                }
+            }
+            Verdict::TakeOver(_) | Verdict::Ran(..) => {}
         }
         let full = self.open >= self.limits.most_open
             || !self.jobs.has_room()
             || unfinished >= self.limits.most_session_jobs
-            || (unsafe_class && self.fates.is_full());
+            || (self.is_kept(submission.class) && self.evidence.is_full());
         full.then_some(TurnedAway::Full(self.limits.retry_after))
     }
 
@@ -661,7 +771,9 @@
         let placed = ask.and_then(|r| self.asks.get(&r)).and_then(placed_at);
         let ok = match (control, state) {
             (Control::Hold, JobState::Queued) => {
-                let waiting = ask.filter(|r| self.asks.get(r).is_some_and(|a| a.life == Life::Waiting));
+                // What may run cannot be held back any more.
+                let held_back = |a: &Ask| a.life == Life::Waiting && a.never_ran();
+                let waiting = ask.filter(|r| self.asks.get(r).is_some_and(held_back));
                 if let Some(request) = waiting {
                     self.call_off(request);
                     if let Some(j) = self.jobs.get_mut(job) {
@@ -714,6 +826,7 @@
     /// An ask that never left is forgotten, unanswered: its job makes another one later.
     fn call_off(&mut self, request: RequestId) {
         self.events.push(Event::Unwanted(request));
+        self.leave(request, false);
         self.step(request, Life::Over);
         self.forget_if_done(request);
     }
@@ -722,7 +835,7 @@
         let Some(ask) = self.asks.get(&request) else { return };
         let (life, job) = (ask.life, ask.job);
         self.events.push(Event::Unwanted(request));
-        self.doubt(request, false);
+        self.leave(request, false);
         self.step(request, Life::Over);
         self.settle_job(job, Answer::Withdrawn);
         if let Life::Offered(attempt) = life {
@@ -771,7 +884,14 @@
         let expires_at = until.min(timeout.map_or(until, |t| self.now.saturating_add(t)));
         let spent = ask.attempts.len() >= self.limits.max_attempts as usize;
         let sent = ask.life == Life::Waiting && !spent && until > self.now;
-        let attempt = Attempt { node, sent_at: self.now, expires_at, accepted: false, ended: None };
+        let attempt = Attempt {
+            node,
+            sent_at: self.now,
+            expires_at,
+            accepted: false,
+            ended: None,
+            after: After::Nothing,
+        };
         ask.attempts.push(attempt);
         if !sent {
             self.counters.void_actions += 1;
@@ -786,11 +906,23 @@
             return;
         }
         self.counters.offers += 1;
+        self.intend(request, Trace { node, request, attempt: number });
         self.alarms.set(expires_at, Alarm::Attempt(request, number));
         let expires_in = expires_at - self.now;
         self.out.push(Output::Offer { node, request, attempt: number, expires_in, job });
     }
 
+    /// What is about to be sent is known, and written down, before it leaves.
+    fn intend(&mut self, request: RequestId, at: Trace) {
+        let Some(of) = self.asks.get(&request).map(|a| of(&a.request)) else { return };
+        if self.is_kept(of.class) {
+            let node_life = self.nodes.get(at.node).and_then(|n| n.own_life).unwrap_or(0);
+            let copy = self.copy(at);
+            self.evidence.sent(copy, node_life, of);
+            self.write_down();
+        }
+    }
+
     /// Stops waiting for an attempt; the node may still have started it.
     fn withdraw(&mut self, request: RequestId, attempt: u16) {
         let Some(at) = self.out_trace(request, attempt) else {
@@ -816,20 +948,89 @@
             self.counters.broken_promises += 1;
             answer = Answer::Failed;
         }
-        self.doubt(request, true);
+        self.leave(request, true);
         self.step(request, Life::Over);
         self.settle_job(job, answer);
         self.forget_if_done(request);
     }
 
-    /// An unsafe task whose ask ends here and which may have run is remembered.
-    fn doubt(&mut self, request: RequestId, wanted: bool) {
+    fn copy(&self, at: Trace) -> Copy {
+        Copy { life: self.limits.life, at }
+    }
+
+    /// An ask ends here: nobody waits for the copies that may run.
+    fn leave(&mut self, request: RequestId, wanted: bool) {
         let Some(ask) = self.asks.get(&request) else { return };
-        if self.class(ask.request.class).is_some_and(|c| c.repeat == Repeat::Unsafe)
-            && let Some((i, a)) = ask.attempts.iter().enumerate().rfind(|(_, a)| !a.never_ran())
-        {
-            let trace = Trace { node: a.node, request, attempt: i as u16 };
-            self.fates.doubt(self.now, ask.request.task, trace, wanted);
+        let traces = ask.attempts.iter().enumerate().filter(|(_, a)| !a.never_ran());
+        let traces: Vec<Trace> =
+            traces.map(|(i, a)| Trace { node: a.node, request, attempt: i as u16 }).collect();
+        for at in traces {
+            let copy = self.copy(at);
+            self.evidence.left(self.now, copy, wanted);
+        }
+    }
+
+    // ---- Copies that may run ----
+
+    /// A copy may run that no open attempt stands for: the module counts it as standing until it is known to be over,
+    /// so that neither spread nor room is given away twice.
+    fn haunt(&mut self, copy: Copy, of: Of) {
+        if self.class(of.class).is_none_or(|c| c.spread == Spread::Off) || self.ghosts.contains_key(&copy) {
+            return;
+        }
+        let id = self.new_request();
+        let Of { task, service, class, tenant, cores, memory } = of;
+        let (deadline_in, life_hint, again) = (0, None, true);
+        let request = Request {
+            request: id,
+            task,
+            service,
+            class,
+            tenant,
+            cores,
+            memory,
+            deadline_in,
+            life_hint,
+            again,
+        };
+        self.ghosts.insert(copy, id);
+        self.events.push(Event::Standing { request, machine: copy.at.node });
+    }
+
+    /// The copy is over, or somebody's again.
+    fn lay(&mut self, copy: Copy) {
+        let Some(request) = self.ghosts.remove(&copy) else { return };
+        let (machine, outcome, why) = (copy.at.node, Outcome::Withdrawn, Why::Unknown);
+        let (attempt, over, load) = (0, true, None);
+        self.events.push(Event::Ended { request, attempt, machine, outcome, why, over, load });
+    }
+
+    /// It is proved that the copy never ran, or was stopped before its end.
+    fn copy_closed(&mut self, copy: Copy) {
+        self.evidence.closed(copy);
+        self.lay(copy);
+    }
+
+    fn copy_over(&mut self, copy: Copy, past: Past) {
+        self.evidence.over(self.now, copy, past);
+        self.lay(copy);
+    }
+
+    /// The node told how an attempt ended.
+    fn copy_ended(&mut self, copy: Copy, end: End, why: Why) {
+        match end {
+            End::Exited { .. } => self.copy_over(copy, Past::Ended(copy.at.node, end)),
+            // Its node says that it gave it up before its end, and why.
+            End::GivenUp if matches!(why, Why::Evicted | Why::PushedOut | Why::SentAway) => {
+                self.copy_closed(copy);
+            }
+            End::Signalled { .. } | End::GivenUp | End::Lost => self.copy_over(copy, Past::MayHaveRun),
+        }
+    }
+
+    fn node_is_gone(&mut self, node: MachineId) {
+        for copy in self.evidence.gone(self.now, node) {
+            self.lay(copy);
         }
     }
 
@@ -896,11 +1097,21 @@
             return;
         };
         a.ended = Some(outcome);
-        let (machine, life) = (a.node, ask.life);
+        let (machine, life, of) = (a.node, ask.life, of(&ask.request));
+        let copy = self.copy(Trace { node: machine, request, attempt });
+        if matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent) {
+            self.copy_closed(copy);
+        } else if self.evidence.is_open(copy) {
+            self.haunt(copy, of);
+            if matches!(life, Life::Over) {
+                self.evidence.left(self.now, copy, true);
+            }
+        }
         if life == Life::Offered(attempt) {
             self.step(request, Life::Waiting);
         }
-        let over = matches!(life, Life::Over | Life::Placed(_));
+        self.settle_by_what_was_found(request);
+        let over = self.asks.get(&request).is_none_or(|a| !a.life.is_open());
         self.count_end(outcome, why);
         self.events.push(Event::Ended { request, attempt, machine, outcome, why, over, load });
         self.forget_if_done(request);
@@ -926,7 +1137,7 @@
         self.counters.overdue += 1;
         self.out.push(Output::Log(format!("fault: ask {} was left without an answer", request.0)));
         self.events.push(Event::Unwanted(request));
-        self.doubt(request, true);
+        self.leave(request, true);
         self.step(request, Life::Over);
         self.settle_job(job, Answer::Failed);
         if let Life::Offered(attempt) = life {
@@ -981,15 +1192,15 @@
                 self.report(node, load);
             }
             NodeNews::Refused(why) => {
-                self.fates.never_ran(at);
                 self.end_attempt(request, attempt, Outcome::Refused, why, load);
             }
             NodeNews::Error => {
-                self.fates.over(self.now, at);
+                // It may have started; its node is asked what it knows of it once nobody waits for it.
                 self.end_attempt(request, attempt, Outcome::Error, Why::Unknown, load);
             }
-            NodeNews::Ended(..) if over => {
-                self.fates.over(self.now, at);
+            NodeNews::Ended(end, why) if over => {
+                let copy = self.copy(at);
+                self.copy_ended(copy, end, why);
                 self.end_attempt(request, attempt, Outcome::Done, Why::Unknown, load);
             }
             NodeNews::Ended(..) => {
@@ -1012,6 +1223,10 @@
         if !self.step(request, Life::Placed(attempt)) {
             return;
         }
+        let copy = self.copy(at);
+        // Earlier attempts that may run as well are nobody's.
+        self.leave(request, false);
+        self.evidence.claimed(copy);
         self.events.push(Event::Placed { request, attempt, machine: node });
         if let Some(job) = self.asks.get(&request).map(|a| a.job) {
             self.settle_job(job, Answer::Placed(node));
@@ -1035,23 +1250,45 @@
             NodeNews::Ended(end @ End::Exited { .. }, why) => (Outcome::Done, end, why),
             NodeNews::Ended(end @ End::Signalled { .. }, why) => (Outcome::Withdrawn, end, why),
             NodeNews::Ended(end, why) => (Outcome::Lost, end, why),
-            NodeNews::Refused(why) => (Outcome::Lost, End::GivenUp, why),
+            NodeNews::Refused(why) => {
+                // Handed back before it ran.
+                let copy = self.copy(at);
+                self.copy_closed(copy);
+                (Outcome::Lost, End::GivenUp, why)
+            }
             NodeNews::Error => (Outcome::Error, End::Lost, Why::Unknown),
         };
+        if let NodeNews::Ended(..) = news {
+            let copy = self.copy(at);
+            // What was stopped to be placed anew is known to be stopped.
+            match self.moving.contains_key(&request) && matches!(end, End::Signalled { .. }) {
+                true => self.copy_closed(copy),
+                false => self.copy_ended(copy, end, why),
+            }
+        }
         self.end_placed(at, outcome, end, why, load);
     }
 
     fn end_placed(&mut self, at: Trace, outcome: Outcome, end: End, why: Why, load: Option<Load>) {
         let Trace { node, request, attempt } = at;
         let Some(ask) = self.asks.get_mut(&request) else { return };
-        let (job, task, class) = (ask.job, ask.request.task, ask.request.class);
+        let (job, of) = (ask.job, of(&ask.request));
         if let Some(a) = ask.attempts.get_mut(usize::from(attempt)) {
             a.ended = Some(outcome);
         }
         self.step(request, Life::Over);
+        let copy = self.copy(at);
+        if self.evidence.is_open(copy) {
+            // Lost sight of, not known to be over.
+            self.haunt(copy, of);
+            self.evidence.left(self.now, copy, true);
+        }
         self.count_end(outcome, why);
         self.events.push(Event::Ended { request, attempt, machine: node, outcome, why, over: true, load });
-        let moved = self.moving.remove(&request).is_some();
+        // Moved, it is asked for again only where it is known to be stopped before its end.
+        let stopped = !matches!(end, End::Exited { .. })
+            && (!self.is_strict(of.class) || self.evidence.ask(of.task, true) == Verdict::Free);
+        let moved = self.moving.remove(&request).is_some() && stopped;
         self.forget_if_done(request);
         if moved {
             self.ask(job);
@@ -1060,9 +1297,6 @@
                 j.end = Some(end);
             }
             let done = matches!(end, End::Exited { .. } | End::Signalled { .. });
-            if done && self.class(class).is_some_and(|c| c.repeat == Repeat::Unsafe) {
-                self.fates.ran(self.now, task);
-            }
             self.finish(job, if done { JobState::Done } else { JobState::Failed });
         }
         self.let_go(node);
@@ -1080,30 +1314,86 @@
             return;
         }
         match news {
-            NodeNews::Running if self.waits_for(at) => self.found_running(at),
-            NodeNews::Running => match self.fates.runs(self.now, at) {
-                StrayCopy::Kept => {}
-                StrayCopy::Unwanted | StrayCopy::NotInDoubt => self.stop_stray(at),
-            },
-            NodeNews::Refused(_) => self.fates.never_ran(at),
-            NodeNews::Ended(..) | NodeNews::Error => self.fates.over(self.now, at),
+            NodeNews::Running if self.went_on(at) => self.found(at, After::Runs),
+            NodeNews::Running => {
+                let copy = self.copy(at);
+                match self.evidence.runs(self.now, copy) {
+                    Stray::Kept => {}
+                    Stray::Unwanted | Stray::Unknown => self.stop_stray(at),
+                }
+            }
+            NodeNews::Refused(_) => {
+                let copy = self.copy(at);
+                self.copy_closed(copy);
+            }
+            NodeNews::Ended(end, why) => {
+                let (copy, went_on) = (self.copy(at), self.went_on(at));
+                let of = self.asks.get(&at.request).map(|a| of(&a.request));
+                self.copy_ended(copy, *end, *why);
+                let ran = of.is_some_and(|of| match self.evidence.ask(of.task, self.is_strict(of.class)) {
+                    Verdict::Ran(..) | Verdict::Never => true,
+                    // A second run of what does no harm is not needed either.
+                    _ => matches!(end, End::Exited { .. }),
+                });
+                if went_on {
+                    self.found(at, if ran { After::Ended(*end) } else { After::Nothing });
+                }
+            }
+            // An error proves nothing: its node's record does.
+            NodeNews::Error => {}
             NodeNews::Accepted | NodeNews::Note(_) => {}
         }
     }
 
-    /// The attempt was given up or its link broke, and its ask still waits for a placing.
-    fn waits_for(&self, at: Trace) -> bool {
-        let ask = self.asks.get(&at.request).filter(|a| a.life == Life::Waiting);
+    /// The attempt was given up or its link broke, and its ask is still to be placed.
+    fn went_on(&self, at: Trace) -> bool {
+        let ask = self.asks.get(&at.request).filter(|a| a.life.is_open());
         let attempt = ask.and_then(|a| a.attempts.get(usize::from(at.attempt)));
         attempt.is_some_and(|a| a.node == at.node && a.ended.is_some())
     }
 
-    /// What the ask waits for runs after all: the module is told of a standing task in place of the ask, so that
-    /// nothing more is offered, and the copy is not wasted.
-    fn found_running(&mut self, at: Trace) {
-        let Some(job) = self.asks.get(&at.request).map(|a| a.job) else { return };
-        self.call_off(at.request);
-        self.take_over(job, at);
+    /// News of an attempt that was given up: what its ask waits for runs after all, or has run.
+    fn found(&mut self, at: Trace, after: After) {
+        let copy = self.copy(at);
+        if after == After::Runs {
+            self.evidence.confirmed(copy);
+        }
+        let Some(ask) = self.asks.get_mut(&at.request) else { return };
+        if let Some(a) = ask.attempts.get_mut(usize::from(at.attempt)) {
+            a.after = after;
+        }
+        self.settle_by_what_was_found(at.request);
+    }
+
+    /// An ask that waits is not offered again where one of its attempts is known to run or to have run: the module is
+    /// told that it is no longer wanted, and of the standing task in its place. While another attempt is out, that one
+    /// comes to its end first: two answers must not be in the making.
+    fn settle_by_what_was_found(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request).filter(|a| a.life == Life::Waiting) else { return };
+        let found = ask.attempts.iter().enumerate().find(|(_, a)| a.after != After::Nothing);
+        let Some((i, a)) = found else { return };
+        let (job, at, after) = (ask.job, Trace { node: a.node, request, attempt: i as u16 }, a.after);
+        self.call_off(request);
+        match after {
+            After::Runs => self.take_over(job, self.copy(at)),
+            After::Ended(end) => {
+                let exited = matches!(end, End::Exited { .. });
+                self.settle_job(job, if exited { Answer::Placed(at.node) } else { Answer::Failed });
+                if exited {
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        j.end = Some(end);
+                    }
+                    self.finish(job, JobState::Done);
+                }
+            }
+            After::Nothing => {}
+        }
+    }
+
+    fn stop_copy(&mut self, copy: Copy) {
+        if copy.life == self.limits.life {
+            self.stop_stray(copy.at);
+        }
     }
 
     fn stop_stray(&mut self, at: Trace) {
@@ -1113,9 +1403,12 @@
 
     // ---- Links ----
 
-    fn on_link_up(&mut self, node: MachineId, life: u64, standing: Vec<Standing>) {
+    fn on_link_up(&mut self, node: MachineId, life: u64, whole: bool, standing: Vec<Standing>) {
+        if self.nodes.is_up(node) {
+            // A second link stands for the first: what was under way on that one is as lost as if it had broken.
+            self.on_link_down(node);
+        }
         let Some(n) = self.nodes.get_mut(node) else { return };
-        let same_life = n.own_life.is_none_or(|old| old == life);
         (n.link, n.own_life) = (Link::Up, Some(life));
         // The list tells of a restart seconds later; until then all controllers would push a cold node over.
         if let Some(line) = n.restarted(self.now, life) {
@@ -1125,7 +1418,10 @@
         let own = |s: &&Standing| s.life == self.limits.life;
         let trace = |s: &Standing| Trace { node, request: s.request, attempt: s.attempt };
         let held: Vec<Trace> = standing.iter().filter(own).map(trace).collect();
-        self.fates.holds(self.now, node, same_life, &held);
+        let named: Vec<Copy> = standing.iter().map(|s| Copy { life: s.life, at: trace(s) }).collect();
+        for copy in self.evidence.greeted(self.now, node, life, whole, &named) {
+            self.lay(copy);
+        }
         let placed: Vec<Trace> = self
             .asks
             .values()
@@ -1154,11 +1450,16 @@
     /// twice is not started again for an owner who never heard of it.
     fn learn_of_past(&mut self, node: MachineId, s: Standing, end: End) {
         let ran = matches!(end, End::Exited { .. } | End::Signalled { .. });
-        let once = self.class(s.submission.class).is_some_and(|c| c.repeat == Repeat::Unsafe);
-        if once && ran {
-            self.fates.ran(self.now, s.submission.task);
-        }
         let (life, was, attempt) = (s.life, s.request, s.attempt);
+        let copy = Copy { life, at: Trace { node, request: was, attempt } };
+        if self.evidence.is_open(copy) {
+            self.copy_ended(copy, end, s.why);
+        } else if self.is_strict(s.submission.class) && ran {
+            let past =
+                if matches!(end, End::Exited { .. }) { Past::Ended(node, end) } else { Past::MayHaveRun };
+            self.evidence.ran(self.now, s.submission.task, past);
+        }
+        self.write_down();
         self.out.push(Output::StopStanding { node, life, was, attempt });
         let known = self.jobs.by_key(&s.submission.session, &s.submission.key).is_some();
         if known || self.jobs.by_task(s.submission.task).is_some() || !self.jobs.has_room() {
@@ -1179,40 +1480,63 @@
     /// A task that an earlier life placed runs on; its job is found again under its key.
     fn adopt(&mut self, node: MachineId, s: Standing) {
         let Standing { life, request: was, attempt, submission, .. } = s;
+        let copy = Copy { life, at: Trace { node, request: was, attempt } };
         let known = self.class(submission.class).is_some();
         let taken = self.jobs.by_task(submission.task).is_some();
         if !known || taken || !self.jobs.has_room() {
             self.counters.strays += 1;
+            self.copy_over(copy, Past::MayHaveRun);
+            self.write_down();
             self.out.push(Output::StopStanding { node, life, was, attempt });
             return;
         }
-        let job = self.jobs.add(submission, JobState::Queued);
-        let request = self.stand(job, node);
+        let job = self.jobs.add_unclaimed(submission);
+        let request = self.stand(job, copy);
+        if let Some(j) = self.jobs.get_mut(job) {
+            (j.answer, j.state) = (Some(Answer::Placed(node)), JobState::Running);
+        }
+        self.write_down();
         self.out.push(Output::Adopt { node, life, was, attempt, request });
     }
 
-    /// A doubtful attempt was found running and its owner asks again: that copy is the new job's.
-    fn take_over(&mut self, job: JobId, trace: Trace) {
-        self.fates.taken_over(trace);
-        let request = self.stand(job, trace.node);
-        let (life, was, attempt) = (self.limits.life, trace.request, trace.attempt);
-        self.out.push(Output::Adopt { node: trace.node, life, was, attempt, request });
+    /// A doubtful copy was found running and its owner asks again: that copy is the new job's.
+    fn take_over(&mut self, job: JobId, copy: Copy) {
+        let request = self.stand(job, copy);
+        self.settle_job(job, Answer::Placed(copy.at.node));
+        self.write_down();
+        let (life, was, attempt) = (copy.life, copy.at.request, copy.at.attempt);
+        self.out.push(Output::Adopt { node: copy.at.node, life, was, attempt, request });
     }
 
-    fn stand(&mut self, job: JobId, node: MachineId) -> RequestId {
-        let id = self.new_request();
+    fn stand(&mut self, job: JobId, copy: Copy) -> RequestId {
+        let (id, node) = (self.new_request(), copy.at.node);
         self.counters.adopted += 1;
+        self.lay(copy);
         let Some(j) = self.jobs.get_mut(job) else { return id };
         j.ask = Some(id);
         let request = request_of(&j.submission, id, 0);
-        let attempt = Attempt { node, sent_at: self.now, expires_at: self.now, accepted: true, ended: None };
+        let named = self.copy(Trace { node, request: id, attempt: 0 });
+        if self.evidence.is_open(copy) {
+            self.evidence.renamed(copy, named);
+        } else if self.is_kept(request.class) {
+            let node_life = self.nodes.get(node).and_then(|n| n.own_life).unwrap_or(0);
+            self.evidence.sent(named, node_life, of(&request));
+            self.evidence.confirmed(named);
+        }
+        let attempt = Attempt {
+            node,
+            sent_at: self.now,
+            expires_at: self.now,
+            accepted: true,
+            ended: None,
+            after: After::Nothing,
+        };
         let (deadline, attempts) = (self.now, vec![attempt]);
         let ask = Ask { request: request.clone(), job, deadline, life: Life::Waiting, attempts };
         self.asks.insert(id, ask);
         self.open += 1;
         self.step(id, Life::Placed(0));
         self.events.push(Event::Standing { request, machine: node });
-        self.settle_job(job, Answer::Placed(node));
         id
     }
 
@@ -1250,7 +1574,6 @@
         let placed: Vec<Trace> =
             self.asks.values().filter_map(placed_at).filter(|t| t.node == node).collect();
         for at in placed {
-            self.doubt(at.request, true);
             self.end_placed(at, Outcome::Lost, End::Lost, Why::Unknown, None);
         }
         self.let_go(node);
@@ -1280,6 +1603,12 @@
     Output::Act { node: at.node, request: at.request, attempt: at.attempt, control }
 }
 
+/// What a copy of the ask is of.
+fn of(r: &Request) -> Of {
+    let Request { task, service, class, tenant, cores, memory, .. } = *r;
+    Of { task, service, class, tenant, cores, memory }
+}
+
 fn request_of(s: &Submission, request: RequestId, deadline_in: Micros) -> Request {
     let Submission { task, service, class, tenant, cores, memory, life_hint, again, .. } = s.clone();
     Request { request, task, service, class, tenant, cores, memory, deadline_in, life_hint, again }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -137,6 +137,10 @@
     pub answer: Option<Answer>,
     /// How its task ended.
     pub end: Option<End>,
+    /// Found running after a restart; no client of this life has asked for it.
+    pub unclaimed: bool,
+    /// The key of an earlier life, where the job was claimed under another.
+    first_key: Option<String>,
 }
 
 /// All jobs of one life of a controller.
@@ -222,10 +226,44 @@
         self.tasks.insert(submission.task, id);
         self.sessions.entry(submission.session.clone()).or_default().insert(id);
         *self.unfinished.entry(submission.session.clone()).or_insert(0) += 1;
-        self.jobs.insert(id, Job { id, submission, state, ask: None, asked_at: 0, answer: None, end: None });
+        let job = Job {
+            id,
+            submission,
+            state,
+            ask: None,
+            asked_at: 0,
+            answer: None,
+            end: None,
+            unclaimed: false,
+            first_key: None,
+        };
+        self.jobs.insert(id, job);
         id
     }
 
+    /// Takes in a job of an earlier life, until its client asks for it.
+    pub(crate) fn add_unclaimed(&mut self, submission: Submission) -> JobId {
+        let id = self.add(submission, JobState::Queued);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.unclaimed = true;
+        }
+        id
+    }
+
+    /// The client of an earlier life's job asks for its task again: the job is known by the new key as well.
+    pub(crate) fn claimed(&mut self, submission: &Submission) -> Option<JobId> {
+        let id = self.by_task(submission.task)?;
+        let job = self.jobs.get_mut(&id)?;
+        if !job.unclaimed || job.submission.session != submission.session {
+            return None;
+        }
+        job.unclaimed = false;
+        // Whoever still knows it by its first key finds it too.
+        job.first_key = Some(std::mem::replace(&mut job.submission.key, submission.key.clone()));
+        self.keys.insert((submission.session.clone(), submission.key.clone()), id);
+        Some(id)
+    }
+
     /// A job reached its end: its task may be asked for by another.
     pub(crate) fn finish(&mut self, id: JobId, state: JobState) {
         let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.state.is_final()) else { return };
@@ -259,9 +297,11 @@
                 self.sessions.remove(&job.submission.session);
             }
         }
-        let key = (job.submission.session, job.submission.key);
-        if self.keys.get(&key) == Some(&id) {
-            self.keys.remove(&key);
+        for key in job.first_key.into_iter().chain([job.submission.key]) {
+            let key = (job.submission.session.clone(), key);
+            if self.keys.get(&key) == Some(&id) {
+                self.keys.remove(&key);
+            }
         }
         true
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,13 @@
 //! comes from the decision module, behind [`Decide`]; the core carries its actions out and feeds it events, in
 //! order, with their time. What the core itself holds are facts: the life of each ask ([`life`]), the jobs that
 //! clients see ([`jobs`]), the nodes that the list names ([`nodes`]) and what became of tasks that must not run
-//! twice ([`fates`]). The same inputs give the same outputs ([`record`]).
+//! twice ([`evidence`]). The same inputs give the same outputs ([`record`]).
 //!
 //! May use: the decision module's interface and plain data. Must not know: sockets, frames, JSON, XML, files.
 
 mod alarms;
 mod engine;
-pub mod fates;
+pub mod evidence;
 pub mod jobs;
 pub mod life;
 pub mod nodes;
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -7,7 +7,7 @@
 //!    +------------------------------------ answer ---------+
 //! ```
 
-use crate::jobs::JobId;
+use crate::jobs::{End, JobId};
 use peppercove::{MachineId, Micros, Outcome, Request, RequestId};
 use std::fmt;
 
@@ -81,6 +81,20 @@
     pub accepted: bool,
     /// How it ended; `None` while it is out or its task runs.
     pub ended: Option<Outcome>,
+    /// What its node said of it after the attempt was given up.
+    pub after: After,
+}
+
+/// What became of an attempt that was given up while its ask went on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum After {
+    /// Nothing is known, or it is proved that it never ran.
+    #[default]
+    Nothing,
+    /// Its task runs.
+    Runs,
+    /// Its task ran, and ended so.
+    Ended(End),
 }
 
 impl Attempt {
--- a/crates/core/src/nodes.rs
+++ b/crates/core/src/nodes.rs
@@ -68,7 +68,7 @@
             return None;
         }
         self.listed_life = (life, now);
-        self.line.started_at = now;
+        (self.line.started_at, self.line.life) = (now, life);
         (self.line.free_cores, self.line.free_memory) = (None, None);
         Some(self.line.clone())
     }
@@ -152,6 +152,7 @@
             rack: line.rack,
             zone: line.zone,
             started_at: began,
+            life,
             free_cores: line.free_cores,
             free_memory: line.free_memory,
         };
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -1,12 +1,13 @@
 //! A record of what a core was told, line by line, and its replay: the same inputs give the same outputs.
 
 use crate::engine::{Core, Input, Output};
+use crate::evidence::Entry;
 use crate::{Decide, Limits};
 use peppercove::Micros;
 use serde::{Deserialize, Serialize};
 
 /// The first line of a record: what the core was made with, beside its settings.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Head {
     /// Seed of the decision module.
     pub seed: u64,
@@ -14,6 +15,12 @@
     pub life: u64,
     /// How many controllers shared the nodes, and its number among them.
     pub schedulers: (u32, u32),
+    /// When it began.
+    #[serde(default)]
+    pub began: Micros,
+    /// What it read of earlier lives.
+    #[serde(default)]
+    pub journal: Vec<Entry>,
 }
 
 impl Head {
@@ -48,14 +55,15 @@
     serde_json::to_string(&Line { at, input: input.clone() }).unwrap_or_default()
 }
 
-/// Puts a record through a core and hands each input's outputs to `each`.
+/// Puts a record, without its head, through a core and hands each input's outputs to `each`.
 ///
 /// # Errors
 /// [`RecordError`] at the first line that cannot be read; what came before it has been played.
 pub fn replay<D: Decide>(
-    text: &str, decider: D, limits: Limits, mut each: impl FnMut(&Line, &[Output]),
+    head: &Head, text: &str, decider: D, limits: Limits, mut each: impl FnMut(&Line, &[Output]),
 ) -> Result<Core<D>, RecordError> {
     let mut core = Core::new(decider, limits);
+    core.recover(head.began, &head.journal);
     for (i, text) in text.lines().enumerate().filter(|(_, text)| !text.is_empty()) {
         let line: Line =
             serde_json::from_str(text).map_err(|source| RecordError { number: i + 1, source })?;
--- a/crates/exchange/src/greeting.rs
+++ b/crates/exchange/src/greeting.rs
@@ -1,7 +1,7 @@
 //! The greeting of a node: what it says of itself, and then all that it holds of this controller.
 
 use crate::nodes::{Heard, heard, past, request_of, submission_of};
-use peppercove::MachineId;
+use peppercove::{MachineId, Why};
 use peppercove_config::Config;
 use peppercove_core::{Input, Standing};
 use peppercove_protocol::node::{FromNode, Party, ToNode};
@@ -28,8 +28,8 @@
 pub enum Step {
     /// More is to come; this is to be taken in meanwhile.
     More(Option<Heard>),
-    /// The node has told all that it holds.
-    Up(Input),
+    /// The node has told all that it holds; what it told last is to be taken in before.
+    Up(Option<Heard>, Input),
 }
 
 /// A greeting under way on one link.
@@ -39,6 +39,7 @@
     name: String,
     most: usize,
     life: Option<u64>,
+    whole: bool,
     left: u32,
     standing: Vec<Standing>,
 }
@@ -46,7 +47,7 @@
 impl Greeting {
     /// A greeting with the node that the list calls `name`; it may hold `most` tasks of this controller.
     pub fn new(node: MachineId, name: &str, most: usize) -> Greeting {
-        Greeting { node, name: name.into(), most, life: None, left: 0, standing: Vec::new() }
+        Greeting { node, name: name.into(), most, life: None, whole: false, left: 0, standing: Vec::new() }
     }
 
     /// The message that opens a link.
@@ -62,7 +63,7 @@
     pub fn hear(&mut self, message: FromNode) -> Result<Step, GreetError> {
         let mut meanwhile = None;
         match (self.life, message) {
-            (None, FromNode::Welcome { version, node, standing }) => {
+            (None, FromNode::Welcome { version, node, standing, whole }) => {
                 if version != peppercove_protocol::VERSION {
                     return Err(GreetError::WrongVersion(version));
                 }
@@ -72,21 +73,27 @@
                 if standing as usize > self.most {
                     return Err(GreetError::TooMuch(standing));
                 }
-                (self.life, self.left) = (Some(node.life), standing);
+                (self.life, self.left, self.whole) = (Some(node.life), standing, whole);
             }
             (None, _) => return Err(GreetError::NotGreeted),
             (Some(_), FromNode::Standing { life, attempt, work, ended }) => {
                 let (request, submission) = (request_of(attempt), submission_of(work));
-                let ended = ended.map(past);
-                self.standing.push(Standing { life, request, attempt: attempt.number, submission, ended });
+                let (ended, why) = ended.map_or((None, Why::Unknown), past);
+                let attempt = attempt.number;
+                self.standing.push(Standing { life, request, attempt, submission, ended, why });
+                self.left = self.left.saturating_sub(1);
+            }
+            // An end that was not acknowledged counts among what follows.
+            (Some(_), other) => {
+                meanwhile = Some(heard(self.node, other));
                 self.left = self.left.saturating_sub(1);
             }
-            (Some(_), other) => meanwhile = Some(heard(self.node, other)),
         }
         match self.life {
-            Some(life) if self.left == 0 && meanwhile.is_none() => {
+            Some(life) if self.left == 0 => {
                 let standing = std::mem::take(&mut self.standing);
-                Ok(Step::Up(Input::LinkUp { node: self.node, life, standing }))
+                let up = Input::LinkUp { node: self.node, life, whole: self.whole, standing };
+                Ok(Step::Up(meanwhile, up))
             }
             _ => Ok(Step::More(meanwhile)),
         }
--- a/crates/exchange/src/nodes.rs
+++ b/crates/exchange/src/nodes.rs
@@ -23,6 +23,7 @@
         fate_memory: micros(config.limits.fate_memory),
         most_fates: config.limits.doubtful,
         lost_after: micros(config.limits.lost_after),
+        journal: config.journal.is_some(),
     }
 }
 
@@ -188,10 +189,10 @@
     }
 }
 
-pub(crate) fn past(end: node::End) -> End {
+pub(crate) fn past(end: node::End) -> (Option<End>, Why) {
     match ended(end) {
-        NodeNews::Ended(end, _) => end,
-        _ => End::Lost,
+        NodeNews::Ended(end, why) => (Some(end), why),
+        _ => (Some(End::Lost), Why::Unknown),
     }
 }
 
--- a/crates/kernel/src/hunt.rs
+++ b/crates/kernel/src/hunt.rs
@@ -112,7 +112,7 @@
             kind,
             racks,
             first_rack: 0,
-            drain: *pick(rng, &["at-once", "at-once", "paced", "none"]),
+            drain: pick::<&str>(rng, &["at-once", "at-once", "paced", "none"]),
             start_ms: *pick(rng, &[10, 30, 30, 100]),
         };
         let count = rng.u64(2..13);
@@ -138,7 +138,7 @@
             length_ms,
             controllers,
             late_ms: *pick(&mut rng, &[50, 300, 300, 1_000]),
-            confirms: *pick(&mut rng, &["running", "running", "running", "accepted"]),
+            confirms: pick::<&str>(&mut rng, &["running", "running", "running", "accepted"]),
             preempts: rng.u32(0..4) == 0,
             groups,
             loads,
@@ -277,15 +277,19 @@
             with(&|p| drop(p.faults.drain(..half)));
         }
         for i in 0..self.faults.len() {
-            with(&|p| drop(p.faults.remove(i)));
+            with(&|p| {
+                p.faults.remove(i);
+            });
         }
         for i in 0..self.loads.len() {
             if self.loads.len() > 1 {
-                with(&|p| drop(p.loads.remove(i)));
+                with(&|p| {
+                    p.loads.remove(i);
+                });
             }
         }
         if self.groups.len() > 1 && !self.faults.iter().any(|f| matches!(f.hits, Hits::Node(_))) {
-            with(&|p| drop(p.groups.pop()));
+            with(&|p| p.groups.truncate(p.groups.len() - 1));
         }
         let controller = |f: &Fault| if let Hits::Controller(c) = f.hits { c + 1 } else { 0 };
         let least = self.faults.iter().map(controller).max().unwrap_or(0).max(1);
--- a/crates/kernel/src/report.rs
+++ b/crates/kernel/src/report.rs
@@ -66,7 +66,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn judged(
         script: &Script, seed: u64, events: &[Event], shared: &Shared, tally: &Tally, counters: Counters,
-        stall: u64, unanswered: usize, hazards: BTreeMap<&'static str, u64>,
+        stall: u64, travel: u64, unanswered: usize, hazards: BTreeMap<&'static str, u64>,
     ) -> Report {
         let rack = |name: &str| script.nodes.iter().find(|n| n.name == name).map_or(0, |n| n.rack);
         let ledger = shared.ledger.borrow();
@@ -83,7 +83,7 @@
                 repeat: s.repeat,
             })
             .collect();
-        let mut verdict = judge(events, &starts, &figures(&script.config, stall));
+        let mut verdict = judge(events, &starts, &figures(&script.config, stall, travel));
         for (at, node) in &ledger.fallen {
             let what = format!("{node} fell over");
             verdict.breaches.push(peppercove_audit::Breach { at: *at, rule: 4, what });
@@ -116,7 +116,7 @@
 }
 
 /// The figures of the rules, by the settings.
-fn figures(config: &Config, stall: u64) -> Figures {
+fn figures(config: &Config, stall: u64, travel: u64) -> Figures {
     let m = &config.module;
     let place = |spread: Spread| match spread {
         Spread::Off => Place::Off,
@@ -140,5 +140,6 @@
         cold_bears: m.cold_bears as u64,
         fall_window: m.fall_window,
         stall,
+        travel,
     }
 }
--- a/crates/kernel/src/script.rs
+++ b/crates/kernel/src/script.rs
@@ -1,5 +1,6 @@
 //! A day as a file: the fleet, the load, and the faults over time.
 
+use peppercove::{Group, Repeat};
 use peppercove_config::schema::{Attribute, Document, Element, Kind, Often, Problem};
 use peppercove_config::{Config, ConfigError, embedded_default};
 use peppercove_standins::model::{Evicts, Spec};
@@ -82,6 +83,12 @@
                     Some(""),
                     "In place of what the settings say.",
                 ),
+                attribute(
+                    "journal",
+                    Kind::Flag,
+                    Some("true"),
+                    "Controllers keep a journal of what they send.",
+                ),
                 attribute("preempts", Kind::Flag, Some(""), "In place of what the settings say."),
                 attribute("probes", Kind::Flag, Some(""), "In place of what the settings say."),
             ],
@@ -271,6 +278,8 @@
     pub config: Config,
     /// Controllers.
     pub controllers: usize,
+    /// They keep a journal of what they send.
+    pub journal: bool,
     /// How late the list is.
     pub list_late: Duration,
     /// How often it looks at free room.
@@ -419,6 +428,7 @@
         after: day.span("after"),
         seed: day.count("seed"),
         controllers,
+        journal: fleet.text("journal") == Some("true"),
         list_late: fleet.span("list-late"),
         list_refresh: fleet.span("list-refresh"),
         nodes,
@@ -462,5 +472,30 @@
             _ => Evicts::AtOnce,
         },
         life: 2_000_000,
+        key_group: match group_of(module) {
+            Some(Group::Rack) => (group.count("first-rack") + i % group.count("racks")) as u32,
+            Some(Group::Zone | Group::All) | None => 0,
+        },
+        key_window: module.classes.iter().map(|c| window_of(c.repeat)).max().unwrap_or(0),
+    }
+}
+
+/// The group that discards second copies; stand-ins know one for all classes, the smallest.
+fn group_of(module: &peppercove::Settings) -> Option<Group> {
+    let groups = module.classes.iter().filter_map(|c| match c.repeat {
+        Repeat::Keyed { group, .. } => Some(group),
+        Repeat::Safe | Repeat::Unsafe => None,
+    });
+    groups.max_by_key(|g| match g {
+        Group::All => 0,
+        Group::Zone => 1,
+        Group::Rack => 2,
+    })
+}
+
+fn window_of(repeat: Repeat) -> u64 {
+    match repeat {
+        Repeat::Keyed { window, .. } => window,
+        Repeat::Safe | Repeat::Unsafe => 0,
     }
 }
--- a/crates/kernel/src/world/clients.rs
+++ b/crates/kernel/src/world/clients.rs
@@ -179,7 +179,9 @@
             TurnedAway::Full(after) | TurnedAway::Stopping(after) | TurnedAway::InDoubt(after) => {
                 (Errno::TryLater, Some(after.div_ceil(1000)))
             }
-            TurnedAway::RanAlready | TurnedAway::TaskTaken(_) => (Errno::DeniedByDrm, None),
+            TurnedAway::RanAlready | TurnedAway::NotKnown | TurnedAway::TaskTaken(_) => {
+                (Errno::DeniedByDrm, None)
+            }
             TurnedAway::NoSuchJob | TurnedAway::WrongState(_) => (Errno::InvalidJob, None),
         };
         self.tell(seat, life, Reply::TurnedAway { key, errno, retry_after: after });
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod rpc;
 
 /// Version of the frames that this build speaks; both ends must name the same one.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
--- a/crates/protocol/src/node.rs
+++ b/crates/protocol/src/node.rs
@@ -88,7 +88,8 @@
         /// The task.
         work: Work,
     },
-    /// The controller waits for this attempt no longer.
+    /// The controller waits for this attempt no longer. The node answers with what it knows of it: that it runs, how it
+    /// ended, or that it is refused, now and for ever. It may be sent again where the answer was not heard.
     Withdraw {
         /// The attempt.
         attempt: AttemptId,
@@ -116,7 +117,8 @@
         /// What to do.
         action: Control,
     },
-    /// The end of an attempt is taken note of: the node may forget it.
+    /// The end of an attempt is taken note of, and written down where the controller keeps a journal: the node may
+    /// forget it. Until then it tells the end again after growing waits, and on each new link.
     Noted {
         /// The attempt.
         attempt: AttemptId,
@@ -210,15 +212,19 @@
 /// What a node says to a controller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromNode {
-    /// Answer to the greeting. The `Ended` that could not be delivered follow, then a `Standing` for each task
-    /// that it holds of this controller.
+    /// Answer to the greeting. `Ended` of what was not acknowledged and `Standing` of what it holds of this controller
+    /// follow, and nothing else before them. From the greeting on nothing that the controller sent on an earlier link is
+    /// acted on, and what was accepted there and has not been started is dropped: what is not told here never ran, or
+    /// its end was acknowledged, unless the node says that it is not `whole`.
     Welcome {
         /// [`crate::VERSION`] of the sender.
         version: u16,
         /// The node.
         node: Party,
-        /// How many `Standing` follow.
+        /// How many of them follow.
         standing: u32,
+        /// In this life of the node no end was forgotten that this controller had not acknowledged.
+        whole: bool,
     },
     /// It holds a task that this controller, or an earlier life of it, placed; or held one of an earlier life to its
     /// end.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -386,7 +386,7 @@
 
     /// Danger: all schedulers together push a fresh machine over. The offers that it always bears are split
     /// among them, in any window, until it is warm for sure; refused offers count too. What does not divide
-    /// goes to the numbers that follow a hash of the machine and its start: each offer has one owner.
+    /// goes to the numbers that follow a hash of the machine and its life: each offer has one owner.
     fn cold_allows(&self, m: &Machine) -> bool {
         if !self.is_cold(m) {
             return true;
@@ -398,7 +398,7 @@
         }
         let all = u64::from(self.settings.schedulers.max(1));
         let bears = self.settings.cold_bears.max(0.0) as u64;
-        let first = scatter(m.line.machine.0 ^ scatter(m.line.started_at)) % all;
+        let first = scatter(m.line.machine.0 ^ scatter(m.line.life)) % all;
         let place = (u64::from(self.settings.own_number) + all - first) % all;
         let share = bears / all + u64::from(place < bears % all);
         let recent = m.offers.iter().filter(|at| **at + window > self.now).count();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -292,6 +292,8 @@
     pub zone: u8,
     /// When it last started; 0 is long ago.
     pub started_at: Micros,
+    /// A number of that life, the same for all schedulers, which may read the start against own clocks.
+    pub life: u64,
     /// Cores nobody asked for, some time ago.
     pub free_cores: Option<f64>,
     /// Memory nobody asked for, some time ago.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! let settings = Settings::sample();
 //! let mut scheduler = Scheduler::new(settings, 42);
 //! let machine = MachineLine {
-//!     machine: MachineId(7), state: MachineState::Ready, kind: 0, rack: 1, zone: 0, started_at: 0,
+//!     machine: MachineId(7), state: MachineState::Ready, kind: 0, rack: 1, zone: 0, started_at: 0, life: 0,
 //!     free_cores: Some(16.0), free_memory: Some(32.0),
 //! };
 //! let task = Request {
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -13,6 +13,7 @@
         rack,
         zone: 0,
         started_at: 0,
+        life: 0,
         free_cores: Some(16.0),
         free_memory: Some(32.0),
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -58,6 +58,7 @@
         rack: (machine % 2) as u16,
         zone: 0,
         started_at,
+        life: started_at,
         free_cores: Some(16.0),
         free_memory: Some(32.0),
     }
