Controllers as processes killed by SIGKILL; what is known of copies tested against nodes' truth

A kill inside one process drops a task and runs destructors. They found two faults: a copy that was over stayed open in the next life, and one found running late was stopped before its owner was told to come.

--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -4,7 +4,7 @@
 use clap::Args;
 use comfy_table::Table;
 use comfy_table::presets::UTF8_BORDERS_ONLY;
-use peppercove_day::{Report, Script, play, shipped, trouble};
+use peppercove_day::{How, Report, Script, play, shipped, trouble};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -28,6 +28,9 @@
     /// Play in simulated time, without sockets.
     #[arg(long)]
     kernel: bool,
+    /// Run each controller as a process, and kill it by SIGKILL.
+    #[arg(long, conflicts_with = "kernel")]
+    processes: bool,
     /// One JSON object a day, a line each.
     #[arg(long)]
     json: bool,
@@ -49,6 +52,7 @@
     }
     queue.reverse();
     let (queue, reports) = (Mutex::new(queue), Mutex::new(Vec::new()));
+    let how = how(arguments.records.clone(), arguments.processes)?;
     let workers = arguments.jobs.clamp(1, 64);
     std::thread::scope(|scope| {
         for _ in 0..workers {
@@ -68,7 +72,7 @@
                             None => Ok(report),
                         }
                     } else {
-                        play(script, seed, arguments.records.clone())
+                        play(script, seed, &how)
                     };
                     if let Ok(mut reports) = reports.lock() {
                         reports.push((script.name.clone(), seed, report));
@@ -96,6 +100,12 @@
     Ok(if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// How controllers run: in this process, or each as one of this very program.
+pub(crate) fn how(records: Option<PathBuf>, processes: bool) -> Result<How> {
+    let own = || std::env::current_exe().context("the program does not find itself");
+    Ok(How { records, program: processes.then(own).transpose()? })
+}
+
 fn scripts(arguments: &DayArguments) -> Result<Vec<Script>> {
     let here = Path::new(".");
     if arguments.all {
--- a/crates/cli/src/hunt.rs
+++ b/crates/cli/src/hunt.rs
@@ -27,6 +27,9 @@
     /// Play them on real sockets, in real time.
     #[arg(long)]
     sockets: bool,
+    /// On real sockets, with each controller as a process that is killed by SIGKILL.
+    #[arg(long)]
+    processes: bool,
     /// Where the days that failed are written, made smaller.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
@@ -63,6 +66,7 @@
     let (next, sum, failed) =
         (AtomicU64::new(0), Mutex::new(Sum::default()), Mutex::new(Vec::<(u64, Plan, Report)>::new()));
     let error: Mutex<Option<anyhow::Error>> = Mutex::new(None);
+    let how = crate::days::how(None, arguments.processes)?;
     let began = std::time::Instant::now();
     std::thread::scope(|scope| {
         for _ in 0..jobs {
@@ -75,10 +79,10 @@
                         break;
                     }
                     let seed = arguments.from + i;
-                    let (plan, report) = if arguments.sockets {
+                    let (plan, report) = if arguments.sockets || arguments.processes {
                         let plan = Plan::random(seed);
                         let script = plan.script();
-                        match play_on_sockets(&script, script.seed, None) {
+                        match play_on_sockets(&script, script.seed, &how) {
                             Ok(report) => (plan, report),
                             Err(e) => {
                                 if let Ok(mut error) = error.lock() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -30,6 +30,9 @@
         /// Its settings.
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// Put a value in place of what the file says, such as controller/name=controller-7; may be repeated.
+        #[arg(long, value_name = "PATH=VALUE")]
+        set: Vec<String>,
     },
     /// Check and show settings.
     #[command(subcommand)]
@@ -138,7 +141,7 @@
 
 fn run(arguments: Arguments) -> Result<ExitCode> {
     match arguments.command {
-        Command::Controller { config } => controller(&config),
+        Command::Controller { config, set } => controller(&config, &set),
         Command::Config(command) => configure(command),
         Command::Demo { jobs, verbose } => {
             if verbose {
@@ -176,8 +179,12 @@
 
 /// Reads settings; the error names the file and each place in it.
 pub(crate) fn read_config(file: &Path) -> Result<Config> {
+    read_config_with(file, &[])
+}
+
+fn read_config_with(file: &Path, values: &[(String, String)]) -> Result<Config> {
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
-    match Config::parse(&text) {
+    match Config::parse_with(&text, values) {
         Ok(config) => Ok(config),
         Err(error) => {
             let lines: Vec<String> =
@@ -198,8 +205,13 @@
     };
 }
 
-fn controller(file: &Path) -> Result<ExitCode> {
-    let config = read_config(file)?;
+fn controller(file: &Path, set: &[String]) -> Result<ExitCode> {
+    let split = |s: &String| match s.split_once('=') {
+        Some((path, value)) => Ok((path.to_owned(), value.to_owned())),
+        None => bail!("--set {s}: PATH=VALUE was expected"),
+    };
+    let values = set.iter().map(split).collect::<Result<Vec<_>>>()?;
+    let config = read_config_with(file, &values)?;
     log_to_stderr(config.log_format, &config.log_level);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -145,6 +145,40 @@
         if problems.is_empty() { Ok(document) } else { Err(ConfigError { problems }) }
     }
 
+    /// Puts a value in place of what the file says: `path` names elements and, last, the attribute. `root` is the
+    /// table that the document was checked against.
+    ///
+    /// # Errors
+    /// [`ConfigError`] where there is no such attribute, the element may stand more than once, or the value is wrong.
+    pub fn set(&mut self, root: &'static Element, path: &str, value: &str) -> Result<(), ConfigError> {
+        let fail = |what: String| {
+            let problem = Problem { line: 0, column: 0, element: path.into(), what };
+            ConfigError { problems: vec![problem] }
+        };
+        let (mut element, mut document, mut steps) = (root, self, path.split('/').peekable());
+        while let Some(step) = steps.next() {
+            if steps.peek().is_some() {
+                let single = |e: &&Element| e.name == step && matches!(e.often, Often::Maybe | Often::Once);
+                element = element.children.iter().find(single).ok_or_else(|| {
+                    fail(format!("there is no single element '{step}' in <{}>", element.name))
+                })?;
+                document = document
+                    .children
+                    .get_mut(step)
+                    .and_then(|c| c.first_mut())
+                    .ok_or_else(|| fail(format!("element '{step}' is not there")))?;
+                continue;
+            }
+            let attribute = element.attributes.iter().find(|a| a.name == step);
+            let attribute =
+                attribute.ok_or_else(|| fail(format!("<{}> has no attribute '{step}'", element.name)))?;
+            check_value(attribute.kind, value)
+                .map_err(|expected| fail(format!("\"{value}\": {expected} was expected")))?;
+            document.values.insert(attribute.name, value.into());
+        }
+        Ok(())
+    }
+
     /// A problem found later with a value of this element.
     pub fn problem(&self, what: impl Into<String>) -> Problem {
         Problem { line: self.line, column: self.column, element: self.path.clone(), what: what.into() }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -665,7 +665,19 @@
     /// # Errors
     /// [`ConfigError`] names line, column, element and what was expected, for every problem found.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        let document = Document::parse(text, &SETTINGS)?;
+        Config::parse_with(text, &[])
+    }
+
+    /// Reads settings and puts values in place of some, each as the path of its attribute (`controller/name`) and
+    /// its text.
+    ///
+    /// # Errors
+    /// As [`Config::parse`]; a path that names nothing is told with itself as its place.
+    pub fn parse_with(text: &str, values: &[(String, String)]) -> Result<Config, ConfigError> {
+        let mut document = Document::parse(text, &SETTINGS)?;
+        for (path, value) in values {
+            document.set(&SETTINGS, path, value)?;
+        }
         let mut problems = Vec::new();
         let config = read(&document, &mut problems);
         if problems.is_empty() { Ok(config) } else { Err(ConfigError { problems }) }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -486,6 +486,11 @@
         self.evidence.doubtful()
     }
 
+    /// Nodes that hold, or may hold, a copy of a task that is followed.
+    pub fn in_doubt_at(&self) -> Vec<MachineId> {
+        self.evidence.nodes().into_iter().collect()
+    }
+
     /// When it wants to be called at the latest.
     pub fn next_wake(&self) -> Option<Micros> {
         [self.alarms.next(), self.evidence.next()].into_iter().flatten().min()
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -75,7 +75,7 @@
     },
     /// A copy is no more: it never ran, or was stopped before its end by its node.
     Closed(Copy),
-    /// The task ran, or may have: its copies are closed with it.
+    /// The task ran, or may have.
     Ran(TaskKey, Past),
     /// A copy goes by another number from now on.
     Renamed(Copy, Copy),
@@ -300,6 +300,7 @@
     pub fn over(&mut self, now: Micros, copy: Copy, past: Past) {
         if let Some(open) = self.close(copy) {
             self.ran(now, open.of.task, past);
+            self.journal.push(Entry::Closed(copy));
         }
     }
 
@@ -362,7 +363,8 @@
     /// The node says that a copy runs that nobody waits for.
     pub fn runs(&mut self, now: Micros, copy: Copy) -> Stray {
         let Some(open) = self.open.get_mut(&copy) else { return Stray::Unknown };
-        if open.known != Known::Runs {
+        let news = open.known != Known::Runs;
+        if news {
             open.known = Known::Runs;
             self.journal.push(Entry::Runs(copy));
         }
@@ -374,7 +376,7 @@
         if open.left.is_none() {
             self.left += 1;
         }
-        if open.left.is_none_or(|at| at == Micros::MAX) {
+        if news || open.left.is_none_or(|at| at == Micros::MAX) {
             open.left = Some(until);
         }
         self.due_at = now;
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod trouble;
 
 pub use peppercove_kernel::{Report, Script, script, shipped};
-pub use play::play;
+pub use play::{How, play};
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -37,10 +37,29 @@
     Start(#[from] StartError),
 }
 
+/// A controller that runs.
+enum Running {
+    /// In this process.
+    Here(Box<Controller>),
+    /// As a process of its own. Dropping it kills it.
+    Apart(tokio::process::Child),
+}
+
+/// How a day's controllers run.
+#[derive(Clone, Debug, Default)]
+pub struct How {
+    /// Where the records of the controllers and what the taps saw are written, if anywhere.
+    pub records: Option<PathBuf>,
+    /// The program that runs each controller as a process (`PROGRAM controller --config FILE --set ...`); in this
+    /// process where left out.
+    pub program: Option<PathBuf>,
+}
+
 /// One controller of the day, and what starts it again.
 struct Seat {
     config: Config,
-    running: RefCell<Option<Controller>>,
+    program: Option<Program>,
+    running: RefCell<Option<Running>>,
     tap: Tap,
     counted: RefCell<Vec<Counters>>,
 }
@@ -48,22 +67,86 @@
 impl Seat {
     fn kill(&self, book: &Book) {
         if let Some(controller) = self.running.borrow_mut().take() {
-            self.counted.borrow_mut().push(controller.status().counters);
             book.write(Seen::Killed { controller: self.config.name.clone() });
+            match controller {
+                Running::Here(controller) => self.counted.borrow_mut().push(controller.status().counters),
+                // SIGKILL: nothing of it runs on.
+                Running::Apart(mut child) => drop(child.start_kill()),
+            }
             self.tap.set_cut(true);
         }
     }
 
     async fn start(&self, book: &Book) -> Result<(), PlayError> {
         book.write(Seen::Started { controller: self.config.name.clone() });
-        let controller = Controller::start(self.config.clone()).await?;
-        self.tap.retarget(controller.address());
+        let (running, address) = match &self.program {
+            Some(program) => program.start().await?,
+            None => {
+                let controller = Controller::start(self.config.clone()).await?;
+                let address = controller.address();
+                (Running::Here(Box::new(controller)), address)
+            }
+        };
+        self.tap.retarget(address);
         self.tap.set_cut(false);
-        *self.running.borrow_mut() = Some(controller);
+        *self.running.borrow_mut() = Some(running);
         Ok(())
     }
 }
 
+/// A controller as a command.
+struct Program {
+    file: PathBuf,
+    settings: PathBuf,
+    values: Vec<String>,
+}
+
+impl Program {
+    fn new(file: PathBuf, settings: PathBuf, script: &Script, config: &Config) -> Program {
+        let text = |path: &Option<PathBuf>| path.as_ref().map(|p| p.display().to_string());
+        let m = &config.module;
+        let confirms = match m.confirms {
+            peppercove::Confirms::Accepted => "accepted",
+            peppercove::Confirms::Running => "running",
+        };
+        let values = [
+            ("controller/name", Some(config.name.clone())),
+            ("controller/clients", Some("127.0.0.1:0".into())),
+            ("controller/number", Some(m.own_number.to_string())),
+            ("controller/of", Some(script.controllers.to_string())),
+            ("controller/seed", config.seed.map(|s| s.to_string())),
+            ("controller/journal", text(&config.journal)),
+            ("controller/record", text(&config.record)),
+            ("node-list/address", Some(config.listen.node_list.to_string())),
+            ("nodes/confirms", Some(confirms.into())),
+            ("nodes/preempts", Some(m.preempts.to_string())),
+            ("nodes/probes", Some(m.probes.to_string())),
+        ];
+        let value = |(path, value): (&str, Option<String>)| value.map(|v| format!("{path}={v}"));
+        Program { file, settings, values: values.into_iter().filter_map(value).collect() }
+    }
+
+    /// Starts it and waits until it says where it listens.
+    async fn start(&self) -> io::Result<(Running, std::net::SocketAddr)> {
+        use tokio::io::{AsyncBufReadExt, BufReader};
+        let mut command = tokio::process::Command::new(&self.file);
+        command.arg("controller").arg("--config").arg(&self.settings);
+        for value in &self.values {
+            command.arg("--set").arg(value);
+        }
+        let null = std::process::Stdio::null;
+        command.stdin(null()).stderr(null()).stdout(std::process::Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("the controller has no output"))?;
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line).await?;
+        let address = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
+        let address =
+            address.ok_or_else(|| io::Error::other(format!("the controller says '{}'", line.trim())))?;
+        Ok((Running::Apart(child), address))
+    }
+}
+
 /// The fleet of a day on loopback.
 struct Stage {
     clock: Clock,
@@ -78,23 +161,20 @@
     _disk: tempfile::TempDir,
 }
 
-/// Where the records of a day's controllers are written, if anywhere.
-pub type Records = Option<PathBuf>;
-
 /// Plays a day on a runtime of its own, in this thread.
 ///
 /// # Errors
 /// [`PlayError`] where a socket or a controller cannot be had.
-pub fn play(script: &Script, seed: u64, records: Records) -> Result<Report, PlayError> {
+pub fn play(script: &Script, seed: u64, how: &How) -> Result<Report, PlayError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    let report = local.block_on(&runtime, run(script, seed, records));
+    let report = local.block_on(&runtime, run(script, seed, how));
     drop(local);
     report
 }
 
 impl Stage {
-    async fn build(script: &Script, seed: u64, records: &Records) -> Result<Stage, PlayError> {
+    async fn build(script: &Script, seed: u64, how: &How) -> Result<Stage, PlayError> {
         let (clock, shared) = (Clock::default(), Shared::default());
         let book = Book::new(clock);
         let micros = |d: Duration| d.as_micros() as u64;
@@ -121,10 +201,14 @@
             config.module.schedulers = script.controllers as u32;
             config.module.own_number = i as u32;
             config.journal = script.journal.then(|| disk.path().join(&config.name));
-            config.record = records.as_ref().map(|folder| folder.join(format!("controller-{i}.jsonl")));
+            config.record = how.records.as_ref().map(|folder| folder.join(format!("controller-{i}.jsonl")));
             let line = Line::Clients(config.name.clone(), facts.clone());
             let tap = Tap::start(([127, 0, 0, 1], 9).into(), line, book.clone()).await?;
-            let seat = Seat { config, running: RefCell::default(), tap, counted: RefCell::default() };
+            let settings = disk.path().join("settings.xml");
+            std::fs::write(&settings, &script.settings)?;
+            let program = how.program.clone().map(|file| Program::new(file, settings, script, &config));
+            let (running, counted) = (RefCell::default(), RefCell::default());
+            let seat = Seat { config, program, running, tap, counted };
             seat.start(&book).await?;
             seats.push(Rc::new(seat));
         }
@@ -133,8 +217,10 @@
 
     /// Waits until every controller has a link to every node.
     async fn ready(&self) {
-        let all = |s: &Rc<Seat>| {
-            s.running.borrow().as_ref().is_some_and(|c| c.status().nodes_up == self.nodes.len())
+        let all = |s: &Rc<Seat>| match s.running.borrow().as_ref() {
+            Some(Running::Here(c)) => c.status().nodes_up == self.nodes.len(),
+            Some(Running::Apart(_)) => self.book.greeted() >= self.nodes.len() * self.seats.len(),
+            None => false,
         };
         for _ in 0..2000 {
             if self.seats.iter().all(all) {
@@ -174,8 +260,8 @@
     }
 }
 
-async fn run(script: &Script, seed: u64, records: Records) -> Result<Report, PlayError> {
-    let stage = Rc::new(Stage::build(script, seed, &records).await?);
+async fn run(script: &Script, seed: u64, how: &How) -> Result<Report, PlayError> {
+    let stage = Rc::new(Stage::build(script, seed, how).await?);
     stage.ready().await;
     let stall = Rc::new(Cell::new(0));
     spawn_local(watch_stalls(stall.clone()));
@@ -210,7 +296,7 @@
         sleep(Duration::from_millis(20)).await;
     }
     let events = stage.book.take();
-    if let Some(folder) = &records {
+    if let Some(folder) = &how.records {
         write_taps(&folder.join(format!("taps-{}-{seed}.txt", script.name)), &events)?;
     }
     Ok(report(script, seed, &stage, &owners, &events, stall.get()))
@@ -233,7 +319,10 @@
 ) -> Report {
     let mut counters = Counters::default();
     for seat in &stage.seats {
-        let now = seat.running.borrow().as_ref().map(|c| c.status().counters);
+        let now = match seat.running.borrow().as_ref() {
+            Some(Running::Here(c)) => Some(c.status().counters),
+            Some(Running::Apart(_)) | None => None,
+        };
         for c in seat.counted.borrow().iter().copied().chain(now) {
             counters = counters.plus(&c);
         }
--- a/crates/day/src/tap.rs
+++ b/crates/day/src/tap.rs
@@ -39,6 +39,12 @@
         self.events.borrow_mut().push(Event { at: self.clock.now(), seen });
     }
 
+    /// Greetings of nodes so far.
+    pub fn greeted(&self) -> usize {
+        let welcome = |e: &&Event| matches!(e.seen, Seen::FromNode { message: FromNode::Welcome { .. }, .. });
+        self.events.borrow().iter().filter(welcome).count()
+    }
+
     /// All that was written.
     pub fn take(&self) -> Vec<Event> {
         std::mem::take(&mut self.events.borrow_mut())
--- a/crates/day/tests/days.rs
+++ b/crates/day/tests/days.rs
@@ -1,6 +1,6 @@
 //! Every shipped day keeps the five rules and leaves nothing open.
 
-use peppercove_day::{Script, play, shipped};
+use peppercove_day::{How, Script, play, shipped};
 use std::path::Path;
 
 #[test]
@@ -12,7 +12,7 @@
     // They mostly wait, so all may run at once; the audit allows for what the machine stalls.
     let reports: Vec<_> = std::thread::scope(|scope| {
         let running: Vec<_> =
-            scripts.iter().map(|s| scope.spawn(move || play(s, s.seed, None).unwrap())).collect();
+            scripts.iter().map(|s| scope.spawn(move || play(s, s.seed, &How::default()).unwrap())).collect();
         running.into_iter().map(|r| r.join().unwrap()).collect()
     });
     for report in &reports {
@@ -71,7 +71,7 @@
     let script = Script::parse(text, Path::new(".")).unwrap_or_else(|e| panic!("{name}: {e}"));
     let folder = std::env::temp_dir().join(format!("peppercove-records-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let report = play(&script, 3, Some(folder.clone())).unwrap();
+    let report = play(&script, 3, &How { records: Some(folder.clone()), program: None }).unwrap();
     let mut replayed = peppercove_core::Counters::default();
     for i in 0..script.controllers {
         let text = std::fs::read_to_string(folder.join(format!("controller-{i}.jsonl"))).unwrap();
--- a/crates/day/tests/trouble.rs
+++ b/crates/day/tests/trouble.rs
@@ -1,7 +1,7 @@
 //! A small recording made by hand becomes a day that shows what it shows.
 
 use peppercove_day::trouble::{ImportError, import};
-use peppercove_day::{Script, play};
+use peppercove_day::{How, Script, play};
 
 const FACTS: &str = r#"{"caps": {"max-attempts": 3, "may-cancel": true, "may-duplicate": false},
  "classes": [{"deadline": 4000000, "late-worth": 0.2, "objective": 800000, "repeat": "idempotent", "worth": 1.0},
@@ -116,7 +116,7 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert_eq!(script.config.module.cold_bears, 28.0);
     assert_eq!(script.config.module.classes[1].repeat, peppercove::Repeat::Unsafe);
-    let report = play(&script, 1, None).unwrap();
+    let report = play(&script, 1, &How::default()).unwrap();
     assert!(report.is_clean(), "{:#?}", report.verdict.breaches);
     assert_eq!(report.jobs, 11);
 }
--- a/crates/kernel/src/script.rs
+++ b/crates/kernel/src/script.rs
@@ -274,6 +274,8 @@
     pub after: Duration,
     /// Seed of all that is drawn.
     pub seed: u64,
+    /// The same as text, for controllers that are processes.
+    pub settings: String,
     /// Settings of the controllers, but for names, numbers and sockets.
     pub config: Config,
     /// Controllers.
@@ -325,18 +327,22 @@
     /// [`ScriptError`] names the file, line, column and element.
     pub fn parse(text: &str, folder: &Path) -> Result<Script, ScriptError> {
         let day = Document::parse(text, &DAY)?;
-        let config = match day.text("settings") {
-            None => Config::parse(embedded_default())
-                .map_err(|source| ScriptError::Settings { path: "embedded default".into(), source })?,
+        let (settings, config) = match day.text("settings") {
+            None => {
+                let config = Config::parse(embedded_default())
+                    .map_err(|source| ScriptError::Settings { path: "embedded default".into(), source })?;
+                (embedded_default().to_owned(), config)
+            }
             Some(file) => {
                 let path = folder.join(file);
                 let text = std::fs::read_to_string(&path)
                     .map_err(|source| ScriptError::Read { path: path.clone(), source })?;
-                Config::parse(&text).map_err(|source| ScriptError::Settings { path, source })?
+                let config = Config::parse(&text).map_err(|source| ScriptError::Settings { path, source })?;
+                (text, config)
             }
         };
         let mut problems = Vec::new();
-        let script = read(&day, config, &mut problems);
+        let script = Script { settings, ..read(&day, config, &mut problems) };
         if problems.is_empty() { Ok(script) } else { Err(ConfigError { problems }.into()) }
     }
 }
@@ -435,6 +441,7 @@
         loads,
         jobs,
         faults,
+        settings: String::new(),
         config,
     }
 }
--- a/crates/kernel/src/world.rs
+++ b/crates/kernel/src/world.rs
@@ -333,6 +333,17 @@
         if process.core.open_asks() > 0 {
             self.hazard("killed with asks open");
         }
+        if process.core.placed_tasks() > 0 {
+            self.hazard("killed with placed tasks running");
+        }
+        let open: Vec<MachineId> = process.core.in_doubt_at();
+        let lost = |m: &MachineId| {
+            let station = self.by_id.get(m).map(|i| &self.stations[*i]);
+            station.is_some_and(|s| s.dead || s.cut > 0 || s.model.faults().hangs)
+        };
+        if open.iter().any(lost) {
+            self.hazard("killed with a copy open at a node that is dead, cut off or hangs");
+        }
         self.seats[seat].counted.push(process.core.counters());
         let name = self.seats[seat].config.name.clone();
         self.see(Seen::Killed { controller: name });
--- a/crates/kernel/src/world/clients.rs
+++ b/crates/kernel/src/world/clients.rs
@@ -115,7 +115,7 @@
 
     pub(super) fn call(&mut self, seat: usize, life: u64, ask: Ask) {
         if self.process(seat, life).is_none() {
-            return;
+            return self.hazard("a controller dies before it reads a submission");
         }
         let config = &self.seats[seat].config;
         let a = &ask.arrival;
@@ -204,6 +204,9 @@
     }
 
     pub(super) fn reply(&mut self, desk: usize, life: u64, reply: Reply) {
+        if self.process(desk, life).is_none() && matches!(reply, Reply::Settled { .. }) {
+            self.hazard("a controller dies between an answer and its reading");
+        }
         if self.desks[desk].connected != Some(life) {
             return;
         }
--- a/crates/kernel/src/world/faults.rs
+++ b/crates/kernel/src/world/faults.rs
@@ -49,7 +49,13 @@
         if self.stations[node].model.held() > 0 {
             self.hazard("a node dies or restarts with tasks on it");
         }
-        let now = self.now;
+        let (now, begin) = (self.now, 1_000_000);
+        let near = |f: &Fault| {
+            f.kind == "controller-killed" && (begin + f.at.as_micros() as Micros).abs_diff(now) < begin
+        };
+        if self.script.faults.iter().any(near) {
+            self.hazard("a node and a controller are lost within a second");
+        }
         self.stations[node].model.die(now);
         self.stations[node].dead = true;
         self.links_die(node);
--- a/crates/kernel/src/world/wire.rs
+++ b/crates/kernel/src/world/wire.rs
@@ -171,6 +171,9 @@
         if !w.holds[1] || self.now >= w.lost_from[1] {
             return self.hazard("frame to a node lost at a cut");
         }
+        if self.process(seat, life).is_none() && matches!(message, ToNode::Offer { .. }) {
+            self.hazard("a controller dies between an offer and its arrival");
+        }
         let controller = self.party(seat, life);
         let newest = self.seats[seat].process.as_ref().map(|p| p.life);
         if newest.is_some_and(|newest| newest != life) && matches!(message, ToNode::Offer { .. }) {
@@ -218,8 +221,16 @@
         let w = &self.wires[wire];
         let (seat, life, node, machine) = (w.seat, w.life, w.node, w.machine);
         if !w.holds[0] || self.now >= w.lost_from[0] || self.process(seat, life).is_none() {
+            if self.process(seat, life).is_none() && matches!(message, FromNode::Running { .. }) {
+                self.hazard("a controller dies between a start and the word of it");
+            }
             return self.hazard("frame of a node lost at a cut");
         }
+        if let FromNode::Welcome { node: told, .. } = &message
+            && told.life > 1
+        {
+            self.hazard("a node is reached again under another life");
+        }
         let name = self.stations[node].model.spec().name.clone();
         let controller = self.party(seat, life);
         self.see(Seen::FromNode { controller, node: name, message: message.clone() });
