--- a/crates/cli/src/hunt.rs
+++ b/crates/cli/src/hunt.rs
@@ -30,6 +30,9 @@
     /// On real sockets, with each controller as a process that is killed by SIGKILL.
     #[arg(long)]
     processes: bool,
+    /// Play days without faults of timing in simulated time and on sockets, and compare the answers job by job.
+    #[arg(long, conflicts_with_all = ["sockets", "processes"])]
+    compare: bool,
     /// Where the days that failed are written, made smaller.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
@@ -56,6 +59,9 @@
         print!("{}", Plan::random(arguments.from).xml());
         return Ok(ExitCode::SUCCESS);
     }
+    if arguments.compare {
+        return compare(arguments);
+    }
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let jobs = arguments.jobs.unwrap_or(cores).clamp(1, 256);
     let bar = ProgressBar::new(arguments.days);
@@ -135,6 +141,55 @@
     Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Plays each day twice; exit status 1 when any job was answered otherwise.
+fn compare(arguments: &HuntArguments) -> Result<ExitCode> {
+    let jobs = arguments.jobs.unwrap_or(8).clamp(1, 64);
+    let how = crate::days::how(None, false)?;
+    let (next, lines) = (AtomicU64::new(0), Mutex::new(Vec::<(u64, usize, usize, String)>::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..jobs {
+            scope.spawn(|| {
+                loop {
+                    let i = next.fetch_add(1, Ordering::Relaxed);
+                    if i >= arguments.days {
+                        break;
+                    }
+                    let seed = arguments.from + i;
+                    let script = Plan::timeless(seed).script();
+                    let kernel = peppercove_kernel::play(&script, script.seed);
+                    let line = match play_on_sockets(&script, script.seed, &how) {
+                        Ok(sockets) => {
+                            let all = kernel.by_job.keys().chain(sockets.by_job.keys());
+                            let all: std::collections::BTreeSet<&u64> = all.collect();
+                            let other = |t: &&&u64| kernel.by_job.get(*t) != sockets.by_job.get(*t);
+                            let others: Vec<&&u64> = all.iter().filter(other).collect();
+                            let first = others.first().map_or(String::new(), |t| {
+                                format!("{:?} and {:?}", kernel.by_job.get(**t), sockets.by_job.get(**t))
+                            });
+                            (seed, all.len(), others.len(), first)
+                        }
+                        Err(error) => (seed, 0, 1, error.to_string()),
+                    };
+                    if let Ok(mut lines) = lines.lock() {
+                        lines.push(line);
+                    }
+                }
+            });
+        }
+    });
+    let mut lines = lines.into_inner().unwrap_or_default();
+    lines.sort();
+    let (jobs, others) = lines.iter().fold((0, 0), |(a, b), (_, jobs, others, _)| (a + jobs, b + others));
+    println!(
+        "{} days, {jobs} jobs: {others} answered otherwise in simulated time than on sockets",
+        lines.len()
+    );
+    for (seed, _, others, first) in lines.iter().filter(|(_, _, others, _)| *others > 0) {
+        println!("seed {seed}: {others} jobs, the first {first}");
+    }
+    Ok(if others == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn show(sum: &Sum, took: f64, pairs: bool) {
     let (share, least, most) = sum.share();
     println!(
--- a/crates/controller/src/session.rs
+++ b/crates/controller/src/session.rs
@@ -375,6 +375,7 @@
         TurnedAway::InDoubt(_) => "in-doubt",
         TurnedAway::RanAlready => "ran-already",
         TurnedAway::NotKnown => "not-known",
+        TurnedAway::AskedElsewhere => "asked-elsewhere",
         TurnedAway::TaskTaken(_) => "task-taken",
         TurnedAway::NoSuchJob => "no-such-job",
         TurnedAway::WrongState(_) => "wrong-state",
@@ -390,6 +391,11 @@
         TurnedAway::RanAlready => {
             Fault::drmaa(Errno::DeniedByDrm, "the task ran, or may have run, and must not be started twice")
         }
+        TurnedAway::AskedElsewhere => {
+            let what =
+                "another controller was asked for the task before and may have started it: ask that one";
+            Fault::drmaa(Errno::DeniedByDrm, what)
+        }
         TurnedAway::NotKnown => {
             let what = "the task was asked for before this controller started, which keeps no journal of what it sends";
             Fault::drmaa(Errno::DeniedByDrm, what)
--- a/crates/controller/src/template.rs
+++ b/crates/controller/src/template.rs
@@ -115,7 +115,8 @@
         memory,
         deadline_in,
         life_hint: native.life.map(micros),
-        again: native.again,
+        again: native.again || native.asked.is_some(),
+        elsewhere: native.asked.as_ref().is_some_and(|name| *name != config.name),
         held: held || start_at.is_some(),
         program: program(template, command, &native, index),
     };
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -200,6 +200,8 @@
     RanAlready,
     /// The task was asked for before, and what became of it is not known here: without a journal, not by this life.
     NotKnown,
+    /// Another controller was asked for the task before and may have started it: that one can tell.
+    AskedElsewhere,
     /// The task is another job's, which is not finished.
     TaskTaken(JobId),
     /// There is no such job.
@@ -736,6 +738,10 @@
         match verdict {
             Verdict::Later(after) => return Some(TurnedAway::InDoubt(after)),
             Verdict::Never => return Some(TurnedAway::RanAlready),
+            // Controllers share no evidence, and a start elsewhere could not be told from none.
+            Verdict::Free if submission.elsewhere && self.is_strict(submission.class) => {
+                return Some(TurnedAway::AskedElsewhere);
+            }
             Verdict::Free => {
                 if let Some(why) = self.not_known(submission) {
                     return Some(why);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -46,6 +46,9 @@
     pub life_hint: Option<Micros>,
     /// It was asked for before.
     pub again: bool,
+    /// Another controller was asked for it before, and may have started it.
+    #[serde(default)]
+    pub elsewhere: bool,
     /// It starts on hold (`drmaa_js_state`).
     pub held: bool,
     /// What to run.
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -91,6 +91,7 @@
         deadline_in: 5 * SECOND,
         life_hint: None,
         again: false,
+        elsewhere: false,
         held: false,
         program: Program::default(),
     }
@@ -672,3 +673,94 @@
         }
     }
 }
+
+#[test]
+fn a_task_that_another_controller_may_have_started_is_denied() {
+    let mut rig = Rig::new();
+    let moved = |class| Submission { again: true, elsewhere: true, ..submission("m", class) };
+    let outputs = rig.step(1, submit(moved(2)), vec![]);
+    assert!(
+        matches!(outputs[..], [Output::TurnedAway { why: TurnedAway::AskedElsewhere, .. }]),
+        "{outputs:?}"
+    );
+    let outputs = rig.step(2, submit(moved(0)), vec![]);
+    assert!(matches!(outputs[0], Output::Accepted { .. }), "a second effect does no harm: {outputs:?}");
+}
+
+#[test]
+fn a_task_of_an_earlier_life_is_announced_to_nobody_and_claimed_by_the_next_ask() {
+    let mut rig = Rig::new();
+    rig.step(1, Input::LinkDown(node(0)), vec![]);
+    let standing = Standing {
+        life: 5,
+        request: RequestId(8),
+        attempt: 0,
+        submission: submission("old", 2),
+        ended: None,
+        why: Why::Unknown,
+    };
+    let up = Input::LinkUp { node: node(0), life: 1, whole: true, standing: vec![standing] };
+    let outputs = rig.step(2, up, vec![]);
+    assert_eq!(answers(&outputs), [], "nobody of this life has asked");
+    let again = Submission { key: "new".into(), again: true, ..submission("old", 2) };
+    let outputs = rig.step(3, submit(again.clone()), vec![]);
+    assert_eq!(answers(&outputs), [Answer::Placed(node(0))]);
+    let (old, new) = (rig.core.jobs().by_key("s", "old"), rig.core.jobs().by_key("s", "new"));
+    assert!(old.is_some() && old == new, "known by both keys");
+    // Claimed once: a third ask under yet another key finds the task taken.
+    let third = Submission { key: "third".into(), ..again };
+    let outputs = rig.step(4, submit(third), vec![]);
+    assert!(matches!(outputs[..], [Output::TurnedAway { why: TurnedAway::TaskTaken(_), .. }]));
+}
+
+#[test]
+fn an_attempt_that_ran_after_it_was_given_up_is_the_answer_and_nothing_more_is_sent() {
+    let mut rig = Rig::new();
+    let actions = vec![rig.bind(0, 0, Some(SECOND))];
+    rig.step(0, submit(submission("k", 1)), actions);
+    // Timed out; the module sends it once more within its group.
+    let again = rig.bind(0, 1, None);
+    rig.step(SECOND, Input::Tick, vec![again]);
+    // The first one has run. The second is out and comes to its end first.
+    let outputs = rig.step(2 * SECOND, news(0, 0, 0, exited()), vec![]);
+    assert_eq!(answers(&outputs), []);
+    let third = rig.bind(0, 0, None);
+    let outputs = rig.step(3 * SECOND, news(1, 0, 1, NodeNews::Refused(Why::NotHere)), vec![third]);
+    assert_eq!(answers(&outputs), [Answer::Placed(node(0))]);
+    assert!(!outputs.iter().any(|o| matches!(o, Output::Offer { .. })), "{outputs:?}");
+    assert_eq!(rig.core.open_asks(), 0);
+}
+
+#[test]
+fn what_was_sent_is_written_down_before_it_is_offered() {
+    let mut rig = Rig::new();
+    let actions = vec![rig.bind(0, 0, None)];
+    let outputs = rig.step(0, submit(submission("u", 2)), actions);
+    let place = |f: fn(&Output) -> bool| outputs.iter().position(f).unwrap();
+    let (written, offered) =
+        (place(|o| matches!(o, Output::Journal(_))), place(|o| matches!(o, Output::Offer { .. })));
+    assert!(written < offered, "{outputs:?}");
+    // The next life reads it, and holds the task until the node has told.
+    let Output::Journal(entries) = &outputs[written] else { unreachable!() };
+    let mut next = Core::new(Fixed::default(), Limits { life: 78, ..limits() });
+    next.recover(SECOND, entries);
+    let again = Submission { key: "u2".into(), again: true, ..submission("u", 2) };
+    let outputs = next.handle(SECOND, submit(again));
+    assert!(outputs.iter().any(|o| matches!(o, Output::TurnedAway { why: TurnedAway::InDoubt(_), .. })));
+}
+
+#[test]
+fn without_a_journal_what_was_asked_before_this_life_is_not_known() {
+    let fixed = Fixed::default();
+    let mut core = Core::new(fixed, Limits { journal: false, ..limits() });
+    core.handle(0, list(1, vec![line(0, MachineState::Ready)]));
+    let again = |key: &str| submit(Submission { again: true, ..submission(key, 2) });
+    let why = |outputs: Vec<Output>| {
+        outputs
+            .into_iter()
+            .find_map(|o| if let Output::TurnedAway { why, .. } = o { Some(why) } else { None })
+    };
+    assert!(matches!(why(core.handle(1, again("old"))), Some(TurnedAway::InDoubt(_))), "a node may tell");
+    core.handle(2, Input::LinkUp { node: node(0), life: 1, whole: true, standing: Vec::new() });
+    assert_eq!(why(core.handle(3, again("old"))), Some(TurnedAway::NotKnown));
+}
--- a/crates/day/src/clients.rs
+++ b/crates/day/src/clients.rs
@@ -23,6 +23,8 @@
     task: u64,
     tries: u32,
     since: Instant,
+    /// The controller that may have started it.
+    asked: Option<usize>,
 }
 
 /// The clients of one controller, on one connection at a time.
@@ -32,6 +34,7 @@
     session: String,
     classes: BTreeMap<String, ClassFact>,
     settle: Duration,
+    moves: f64,
     until: Instant,
     tally: Rc<RefCell<Tally>>,
     seed: RefCell<fastrand::Rng>,
@@ -53,8 +56,8 @@
 impl Owners {
     /// Opens a desk for each address; within a `LocalSet`. Nobody asks again after `until`.
     pub fn open(
-        addresses: &[SocketAddrV4], classes: &BTreeMap<String, ClassFact>, settle: Duration, until: Instant,
-        seed: u64,
+        addresses: &[SocketAddrV4], classes: &BTreeMap<String, ClassFact>, settle: Duration, moves: f64,
+        until: Instant, seed: u64,
     ) -> Owners {
         let tally = Rc::new(RefCell::new(Tally::default()));
         let mut desks = Vec::new();
@@ -66,6 +69,7 @@
                 session: format!("owners-{seed}-{i}"),
                 classes: classes.clone(),
                 settle,
+                moves,
                 until,
                 tally: tally.clone(),
                 seed: RefCell::new(fastrand::Rng::with_seed(seed ^ i as u64)),
@@ -94,7 +98,7 @@
     pub fn submit(&self, arrival: Arrival, task: u64) {
         self.tally.borrow_mut().jobs += 1;
         self.open.set(self.open.get() + 1);
-        let ask = Ask { arrival: Rc::new(arrival), task, tries: 0, since: Instant::now() };
+        let ask = Ask { arrival: Rc::new(arrival), task, tries: 0, since: Instant::now(), asked: None };
         let _ = self.queue.send(ask);
     }
 
@@ -116,7 +120,7 @@
 
     fn answered(self: &Rc<Desk>, ask: Ask, outcome: Outcome) {
         let class = ask.arrival.class.clone();
-        self.tally.borrow_mut().answered(&class, outcome, ask.since.elapsed().as_micros() as u64);
+        self.tally.borrow_mut().answered(ask.task, &class, outcome, ask.since.elapsed().as_micros() as u64);
         let next = after_answer(outcome, self.is_safe(&class), self.settle, &mut self.seed.borrow_mut());
         self.go_on(ask, next);
     }
@@ -130,6 +134,10 @@
             Next::Done => self.open.set(self.open.get() - 1),
             Next::Again(after) => self.again(ask, after),
             Next::Elsewhere => {
+                let mut ask = ask;
+                if !self.is_safe(&ask.arrival.class) {
+                    ask.asked = ask.asked.or(Some(self.controller));
+                }
                 let others = self.others.borrow();
                 let i = self.seed.borrow_mut().usize(0..others.len());
                 self.open.set(self.open.get() - 1);
@@ -142,7 +150,7 @@
     /// The controller went away with this ask open.
     fn lost(self: &Rc<Desk>, ask: Ask) {
         let (safe, others) = (self.is_safe(&ask.arrival.class), !self.others.borrow().is_empty());
-        let next = after_loss(safe, others, self.settle, &mut self.seed.borrow_mut());
+        let next = after_loss(safe, others, self.moves, self.settle, &mut self.seed.borrow_mut());
         self.go_on(ask, next);
     }
 
@@ -155,6 +163,9 @@
         if ask.tries > 0 {
             native += " again=yes";
         }
+        if let Some(asked) = ask.asked.filter(|asked| *asked != self.controller) {
+            native += &format!(" asked=controller-{asked}");
+        }
         for (name, value) in [("cores", a.cores), ("memory", a.memory)] {
             if let Some(value) = value {
                 native += &format!(" {name}={value}");
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -275,7 +275,7 @@
     let classes = script.config.classes.iter().zip(&script.config.module.classes);
     let classes: BTreeMap<String, ClassFact> = classes.map(|(n, c)| (n.clone(), safe(c))).collect();
     let settle = Duration::from_micros(script.config.module.settle);
-    let owners = Rc::new(Owners::open(&addresses, &classes, settle, end, seed));
+    let owners = Rc::new(Owners::open(&addresses, &classes, settle, script.owners_move, end, seed));
     let mut faults = Vec::new();
     for (i, fault) in script.faults.iter().enumerate() {
         let rng = fastrand::Rng::with_seed(seed ^ 0xfau64 ^ (i as u64) << 16);
--- a/crates/exchange/src/nodes.rs
+++ b/crates/exchange/src/nodes.rs
@@ -70,6 +70,7 @@
         deadline_in: 0,
         life_hint: None,
         again: true,
+        elsewhere: false,
         held: false,
         program: peppercove_core::Program {
             command: work.program.command,
--- a/crates/kernel/src/hunt.rs
+++ b/crates/kernel/src/hunt.rs
@@ -81,9 +81,13 @@
     late_ms: u64,
     confirms: &'static str,
     preempts: bool,
+    /// Share of owners who ask another controller when theirs is gone.
+    moves: f64,
     groups: Vec<Group>,
     loads: Vec<Load>,
     faults: Vec<Fault>,
+    /// Jobs at stated times in place of loads: time, class, service, life, controller.
+    stated: Vec<(u64, &'static str, u64, u64, u64)>,
 }
 
 /// All pairs of kinds, each with itself included: day after day begins with the next one, so that none is left out.
@@ -140,9 +144,11 @@
             late_ms: *pick(&mut rng, &[50, 300, 300, 1_000]),
             confirms: pick::<&str>(&mut rng, &["running", "running", "running", "accepted"]),
             preempts: rng.u32(0..4) == 0,
+            moves: 0.0,
             groups,
             loads,
             faults: Vec::new(),
+            stated: Vec::new(),
         };
         let more = rng.usize(0..11);
         let first = pair(seed);
@@ -164,6 +170,37 @@
             plan.faults.push(fault);
         }
         plan.faults.sort_by_key(|f| f.at_ms);
+        if rng.u32(0..4) == 0 {
+            plan.moves = 0.4;
+        }
+        plan
+    }
+
+    /// The day of a seed with jobs at stated times and only faults whose effect does not hang on moments, so that two
+    /// ways to play it must come to the same answers.
+    pub fn timeless(seed: u64) -> Plan {
+        let mut rng = fastrand::Rng::with_seed(seed ^ 0x7469_6d65);
+        let mut plan = Plan::random(seed);
+        plan.faults.clear();
+        plan.moves = 0.0;
+        plan.length_ms = plan.length_ms.min(5_000);
+        // Room for all: where it is short, moments decide who gets it.
+        plan.groups[0].count = plan.groups[0].count.max(6);
+        for load in std::mem::take(&mut plan.loads) {
+            let jobs = (load.rate.min(6.0) * plan.length_ms as f64 / 1e3) as u64;
+            for _ in 0..jobs {
+                let (at, service) = (rng.u64(0..plan.length_ms), rng.u64(0..load.services));
+                let (life, controller) = (load.life_ms.min(800), rng.u64(0..plan.controllers));
+                plan.stated.push((at, load.class, service, life, controller));
+            }
+        }
+        plan.stated.sort_unstable();
+        if rng.bool() {
+            let class = Some(*pick(&mut rng, &["fill", "render", "update"]));
+            let hits = Hits::Share(1.0);
+            let for_ms = plan.length_ms + 30_000;
+            plan.faults.push(Fault { kind: "class-error", at_ms: 0, for_ms, hits, class, size: 1.0 });
+        }
         plan
     }
 
@@ -200,8 +237,8 @@
             writeln!(x, "<day name=\"hunt\" length=\"{}ms\" after=\"25s\" seed=\"{}\">", p.length_ms, p.seed);
         let _ = writeln!(
             x,
-            "  <fleet controllers=\"{}\" list-late=\"{}ms\" confirms=\"{}\" preempts=\"{}\">",
-            p.controllers, p.late_ms, p.confirms, p.preempts
+            "  <fleet controllers=\"{}\" list-late=\"{}ms\" confirms=\"{}\" preempts=\"{}\" owners-move=\"{}\">",
+            p.controllers, p.late_ms, p.confirms, p.preempts, p.moves
         );
         for g in &p.groups {
             let _ = writeln!(
@@ -218,6 +255,12 @@
                 l.class, l.rate, l.life_ms, l.services
             );
         }
+        for (at, class, service, life, controller) in &p.stated {
+            let _ = writeln!(
+                x,
+                "  <job at=\"{at}ms\" class=\"{class}\" service=\"s{service}\" life=\"{life}ms\" controller=\"{controller}\"/>"
+            );
+        }
         for f in &p.faults {
             let hits = match &f.hits {
                 Hits::Share(share) => format!("share=\"{share}\""),
--- a/crates/kernel/src/owners.rs
+++ b/crates/kernel/src/owners.rs
@@ -52,9 +52,14 @@
     retry_after_ms.map_or(Next::Done, |ms| Next::Again(Duration::from_millis(ms) + scattered(rng, 0, 200)))
 }
 
-/// After its controller went away with the job unanswered; `others` may be asked.
-pub fn after_loss(safe: bool, others: bool, settle: Duration, rng: &mut fastrand::Rng) -> Next {
-    if safe && others { Next::Elsewhere } else { Next::Again(settle + scattered(rng, 0, 200)) }
+/// After its controller went away with the job unanswered; `others` may be asked. A share of `moves` of those whose
+/// task does harm twice asks there as well, and says so.
+pub fn after_loss(safe: bool, others: bool, moves: f64, settle: Duration, rng: &mut fastrand::Rng) -> Next {
+    if others && (safe || rng.f64() < moves) {
+        Next::Elsewhere
+    } else {
+        Next::Again(settle + scattered(rng, 0, 200))
+    }
 }
 
 /// What the owners of a day counted.
@@ -70,11 +75,14 @@
     pub again: u64,
     /// Submissions turned away, by error.
     pub turned_away: BTreeMap<&'static str, u64>,
+    /// Answers to each job, in order, by the number of its task.
+    pub by_job: BTreeMap<u64, Vec<&'static str>>,
 }
 
 impl Tally {
-    /// An answer came after this long, in microseconds.
-    pub fn answered(&mut self, class: &str, outcome: Outcome, after: u64) {
+    /// An answer to a task came after this long, in microseconds.
+    pub fn answered(&mut self, task: u64, class: &str, outcome: Outcome, after: u64) {
+        self.by_job.entry(task).or_default().push(outcome_name(outcome));
         *self.answers.entry((class.into(), outcome_name(outcome))).or_insert(0) += 1;
         if outcome == Outcome::Placed {
             let delays = self.delays.entry(class.into()).or_insert_with(new_histogram);
--- a/crates/kernel/src/report.rs
+++ b/crates/kernel/src/report.rs
@@ -52,6 +52,9 @@
     pub stall: u64,
     /// Asks that their owners still had open at the end.
     pub unanswered: usize,
+    /// Answers to each job, in order, by the number of its task.
+    #[serde(skip)]
+    pub by_job: BTreeMap<u64, Vec<&'static str>>,
     /// Hard cases that did happen, and how often; only the kernel knows them.
     pub hazards: BTreeMap<&'static str, u64>,
 }
@@ -110,6 +113,7 @@
             counters,
             stall,
             unanswered,
+            by_job: tally.by_job.clone(),
             hazards,
         }
     }
--- a/crates/kernel/src/script.rs
+++ b/crates/kernel/src/script.rs
@@ -89,6 +89,12 @@
                     Some("true"),
                     "Controllers keep a journal of what they send.",
                 ),
+                attribute(
+                    "owners-move",
+                    SHARE,
+                    Some("0"),
+                    "Share of owners of keyed and unsafe tasks who ask another controller when theirs is gone.",
+                ),
                 attribute("preempts", Kind::Flag, Some(""), "In place of what the settings say."),
                 attribute("probes", Kind::Flag, Some(""), "In place of what the settings say."),
             ],
@@ -282,6 +288,8 @@
     pub controllers: usize,
     /// They keep a journal of what they send.
     pub journal: bool,
+    /// Share of owners of keyed and unsafe tasks who ask another controller when theirs is gone.
+    pub owners_move: f64,
     /// How late the list is.
     pub list_late: Duration,
     /// How often it looks at free room.
@@ -435,6 +443,7 @@
         seed: day.count("seed"),
         controllers,
         journal: fleet.text("journal") == Some("true"),
+        owners_move: fleet.number("owners-move"),
         list_late: fleet.span("list-late"),
         list_refresh: fleet.span("list-refresh"),
         nodes,
--- a/crates/kernel/src/world/clients.rs
+++ b/crates/kernel/src/world/clients.rs
@@ -22,6 +22,8 @@
     tries: u32,
     since: Micros,
     key: String,
+    /// The controller that may have started it.
+    asked: Option<usize>,
 }
 
 /// What a controller tells an owner.
@@ -95,7 +97,14 @@
     pub(super) fn submit(&mut self, desk: usize, arrival: Arrival, task: u64) {
         self.tally.jobs += 1;
         self.desks[desk].open += 1;
-        let ask = Ask { arrival: Rc::new(arrival), task, tries: 0, since: self.now, key: String::new() };
+        let ask = Ask {
+            arrival: Rc::new(arrival),
+            task,
+            tries: 0,
+            since: self.now,
+            key: String::new(),
+            asked: None,
+        };
         self.ask(desk, ask);
     }
 
@@ -134,6 +143,7 @@
             deadline_in: config.module.classes[class].deadline,
             life_hint: None,
             again: ask.tries > 0,
+            elsewhere: ask.asked.is_some_and(|asked| asked != seat),
             held: false,
             program: Program {
                 command: "sleep".into(),
@@ -179,9 +189,10 @@
             TurnedAway::Full(after) | TurnedAway::Stopping(after) | TurnedAway::InDoubt(after) => {
                 (Errno::TryLater, Some(after.div_ceil(1000)))
             }
-            TurnedAway::RanAlready | TurnedAway::NotKnown | TurnedAway::TaskTaken(_) => {
-                (Errno::DeniedByDrm, None)
-            }
+            TurnedAway::RanAlready
+            | TurnedAway::NotKnown
+            | TurnedAway::AskedElsewhere
+            | TurnedAway::TaskTaken(_) => (Errno::DeniedByDrm, None),
             TurnedAway::NoSuchJob | TurnedAway::WrongState(_) => (Errno::InvalidJob, None),
         };
         self.tell(seat, life, Reply::TurnedAway { key, errno, retry_after: after });
@@ -247,7 +258,7 @@
     }
 
     fn answered(&mut self, desk: usize, ask: Ask, outcome: Outcome) {
-        self.tally.answered(&ask.arrival.class, outcome, self.now - ask.since);
+        self.tally.answered(ask.task, &ask.arrival.class, outcome, self.now - ask.since);
         let settle = Duration::from_micros(self.script.config.module.settle);
         let safe = self.is_safe(&ask);
         let next = after_answer(outcome, safe, settle, &mut self.desks[desk].rng);
@@ -268,6 +279,11 @@
                 let others = self.desks.len() - 1;
                 let i = self.desks[desk].rng.usize(0..others);
                 let other = if i >= desk { i + 1 } else { i };
+                let mut ask = ask;
+                if !self.is_safe(&ask) {
+                    self.hazard("an owner of a keyed or unsafe task asks at another controller");
+                    ask.asked = ask.asked.or(Some(desk));
+                }
                 self.hazard("an owner asks at another controller");
                 self.desks[desk].open -= 1;
                 self.desks[other].open += 1;
@@ -301,7 +317,7 @@
         let settle = Duration::from_micros(self.script.config.module.settle);
         for ask in lost {
             let (safe, others) = (self.is_safe(&ask), self.desks.len() > 1);
-            let next = after_loss(safe, others, settle, &mut self.desks[desk].rng);
+            let next = after_loss(safe, others, self.script.owners_move, settle, &mut self.desks[desk].rng);
             self.go_on(desk, ask, next);
         }
         for ask in queued {
--- a/crates/protocol/src/native.rs
+++ b/crates/protocol/src/native.rs
@@ -4,7 +4,7 @@
 //! spec    = *ws [pair *(sep pair)] *ws
 //! sep     = 1*ws / *ws "," *ws
 //! pair    = name "=" value
-//! name    = "cores" / "memory" / "deadline" / "class" / "tenant" / "life" / "exit" / "task" / "again"
+//! name    = "cores" / "memory" / "deadline" / "class" / "tenant" / "life" / "exit" / "task" / "again" / "asked"
 //! number  = 1*DIGIT ["." 1*DIGIT]
 //! span    = number ("us" / "ms" / "s" / "m" / "h")
 //! word    = 1*(ALPHA / DIGIT / "-" / "_" / ".")
@@ -46,6 +46,8 @@
     pub task: Option<String>,
     /// It was asked for before, and refused, failed or lost.
     pub again: bool,
+    /// The controller that was asked for the task before, and whose answer leaves open whether it ran.
+    pub asked: Option<String>,
 }
 
 /// A native specification that does not follow the grammar.
@@ -120,6 +122,9 @@
             "class" => native.class = Some(word(&mut input).map_err(|_| expected("a class name"))?.into()),
             "tenant" => native.tenant = Some(word(&mut input).map_err(|_| expected("a tenant name"))?.into()),
             "task" => native.task = Some(word(&mut input).map_err(|_| expected("a task name"))?.into()),
+            "asked" => {
+                native.asked = Some(word(&mut input).map_err(|_| expected("a controller name"))?.into())
+            }
             "again" => match word(&mut input) {
                 Ok("yes") => native.again = true,
                 Ok("no") => native.again = false,
@@ -159,7 +164,7 @@
     #[test]
     fn every_name_is_read() {
         let native =
-            parse(" cores=0.5, memory=1.5 deadline=800ms class=web-fill tenant=team_a life=12s,exit=3 task=t.1 again=yes").unwrap();
+            parse(" cores=0.5, memory=1.5 deadline=800ms class=web-fill tenant=team_a life=12s,exit=3 task=t.1 again=yes asked=c-1").unwrap();
         assert_eq!(native.cores, Some(0.5));
         assert_eq!(native.memory, Some(1.5));
         assert_eq!(native.deadline, Some(Duration::from_millis(800)));
@@ -168,6 +173,7 @@
         assert_eq!(native.life, Some(Duration::from_secs(12)));
         assert_eq!(native.exit, Some(3));
         assert_eq!((native.task.as_deref(), native.again), (Some("t.1"), true));
+        assert_eq!(native.asked.as_deref(), Some("c-1"));
         assert_eq!(parse("").unwrap(), Native::default());
     }
 
