The kernel's nodes do not greet once they are dead

On sockets a dead node accepts nothing; a link of the kernel now ends with the process that was dialled. The controller is unchanged.

--- a/crates/kernel/src/world/wire.rs
+++ b/crates/kernel/src/world/wire.rs
@@ -16,6 +16,8 @@
     life: u64,
     node: usize,
     machine: MachineId,
+    /// Life of the node's process that was dialled.
+    node_life: u64,
     /// Which ends still hold it: controller, node.
     holds: [bool; 2],
     /// Frames that would arrive later than this are lost: at the controller, at the node.
@@ -83,11 +85,13 @@
         let hello = Greeting::hello(config, life);
         let late = config.listen.connect_timeout.as_micros() as Micros;
         let wire = self.wires.len();
+        let node_life = self.stations[node].model.life();
         self.wires.push(Wire {
             seat,
             life,
             node,
             machine,
+            node_life,
             holds: [true, true],
             lost_from: [Micros::MAX; 2],
             last: [0; 2],
@@ -171,6 +175,12 @@
         if !w.holds[1] || self.now >= w.lost_from[1] {
             return self.hazard("frame to a node lost at a cut");
         }
+        // A process that has died since it was dialled answers nothing, and its successor knows nothing of the link. A
+        // dead node that still greeted, with nothing on it, made copies look as if they had never run.
+        let station = &self.stations[node];
+        if station.dead || station.model.life() != self.wires[wire].node_life {
+            return self.end_dies(wire, true);
+        }
         if self.process(seat, life).is_none() && matches!(message, ToNode::Offer { .. }) {
             self.hazard("a controller dies between an offer and its arrival");
         }
