--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -34,6 +34,12 @@
         #[arg(long, value_name = "PATH=VALUE")]
         set: Vec<String>,
     },
+    /// Serve as a controller of the users' platform, by the configuration that LB_CONFIG names.
+    Serve {
+        /// Level of the log on standard error, or a filter such as peppercove=debug.
+        #[arg(long, value_name = "LEVEL", default_value = "warn")]
+        log: String,
+    },
     /// Check and show settings.
     #[command(subcommand)]
     Config(ConfigCommand),
@@ -142,6 +148,7 @@
 fn run(arguments: Arguments) -> Result<ExitCode> {
     match arguments.command {
         Command::Controller { config, set } => controller(&config, &set),
+        Command::Serve { log } => serve(&log),
         Command::Config(command) => configure(command),
         Command::Demo { jobs, verbose } => {
             if verbose {
@@ -234,6 +241,17 @@
     })
 }
 
+fn serve(log: &str) -> Result<ExitCode> {
+    log_to_stderr(LogFormat::Text, log);
+    let path = std::env::var_os("LB_CONFIG").context("LB_CONFIG is not set: it names the configuration")?;
+    let variable = |name| std::env::var(name).ok();
+    let environment =
+        peppercove_serve::Environment { name: variable("LB_NAME"), listen: variable("LB_LISTEN") };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, peppercove_serve::run(Path::new(&path), &environment))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn configure(command: ConfigCommand) -> Result<ExitCode> {
     match command {
         ConfigCommand::Check { file } => {
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -5,7 +5,7 @@
 use crate::journal::Journal;
 use crate::link;
 use crate::session::Sessions;
-use peppercove::{MachineId, Micros, Scheduler};
+use peppercove::{MachineId, Scheduler};
 use peppercove_config::Config;
 use peppercove_core::evidence::Entry;
 use peppercove_core::{Answer, Core, End, Input, Job, JobId, JobState, Output, record};
@@ -13,41 +13,16 @@
 use peppercove_metrics as names;
 use peppercove_protocol::node::ToNode;
 use peppercove_protocol::rpc;
+use peppercove_runtime::{Clock, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, spawn_local};
 
-/// The controller's clock: wall time at its start, and monotonic from then on.
-pub(crate) struct Clock {
-    began: Instant,
-    base: Micros,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { began: Instant::now(), base: u64::try_from(since.as_micros()).unwrap_or(0).max(1) }
-    }
-
-    pub(crate) fn now(&self) -> Micros {
-        self.base + u64::try_from(self.began.elapsed().as_micros()).unwrap_or(0)
-    }
-
-    /// When it began, on its own scale.
-    pub(crate) fn began(&self) -> Micros {
-        self.base
-    }
-
-    fn instant(&self, at: Micros) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.began + Duration::from_micros(at.saturating_sub(self.base)))
-    }
-}
-
 /// A link's task, and its queue while it is up.
 pub(crate) struct LinkHandle {
     pub(crate) queue: Option<mpsc::Sender<ToNode>>,
@@ -65,9 +40,7 @@
     pub(crate) watch: Notify,
     /// An ask was answered.
     pub(crate) settled: Notify,
-    wake: Notify,
-    /// When the core is called next, unless something comes before.
-    armed: Cell<Option<Micros>>,
+    timer: Timer,
     tickets: Cell<u64>,
     /// Messages to other controllers, where the settings name any.
     pub(crate) peers: RefCell<Option<mpsc::Sender<Vec<u8>>>>,
@@ -79,7 +52,7 @@
 
 impl Shell {
     pub(crate) fn new(config: Config) -> Result<Shell, StartError> {
-        let clock = Clock::new();
+        let clock = Clock::start();
         let seed = config.seed.unwrap_or_else(|| fastrand::u64(..));
         // Lives only have to differ: the time of the start, scattered so that two in one microsecond do as well.
         let life = clock.now() ^ (fastrand::u64(..) & 0xfff) << 52;
@@ -121,8 +94,7 @@
             sessions: RefCell::default(),
             watch: Notify::new(),
             settled: Notify::new(),
-            wake: Notify::new(),
-            armed: Cell::new(None),
+            timer: Timer::default(),
             tickets: Cell::new(0),
             peers: RefCell::default(),
             record,
@@ -153,11 +125,7 @@
             }
         }
         self.tend_journal();
-        // A wake that is due later than the one waited for can be set then.
-        let next = self.core.borrow().next_wake();
-        if next.is_some_and(|at| self.armed.get().is_none_or(|armed| at < armed)) {
-            self.wake.notify_one();
-        }
+        self.timer.changed(self.core.borrow().next_wake());
         answers
     }
 
@@ -360,21 +328,9 @@
 
 /// Calls the core when it wants to be called.
 pub(crate) async fn keep_time(shell: Rc<Shell>) {
-    loop {
-        let next = shell.core.borrow().next_wake();
-        shell.armed.set(next);
-        let sleep = async {
-            match next {
-                Some(at) => tokio::time::sleep_until(shell.clock.instant(at)).await,
-                None => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            () = sleep => {
-                shell.armed.set(Some(0));
-                shell.input(Input::Tick);
-            }
-            () = shell.wake.notified() => {}
-        }
-    }
+    let next = || shell.core.borrow().next_wake();
+    let tick = || {
+        shell.input(Input::Tick);
+    };
+    shell.timer.keep(&shell.clock, next, tick).await;
 }
--- a/crates/core/src/alarms.rs
+++ b/crates/core/src/alarms.rs
@@ -5,7 +5,7 @@
 
 /// Alarms are never taken back: whoever gets one checks whether it still means something.
 #[derive(Debug)]
-pub(crate) struct Alarms<T> {
+pub struct Alarms<T> {
     queue: BTreeMap<(Micros, u64), T>,
     set: u64,
 }
@@ -17,16 +17,19 @@
 }
 
 impl<T> Alarms<T> {
-    pub(crate) fn set(&mut self, at: Micros, alarm: T) {
+    /// Sets an alarm; those of one time come in the order they were set.
+    pub fn set(&mut self, at: Micros, alarm: T) {
         self.queue.insert((at, self.set), alarm);
         self.set += 1;
     }
 
-    pub(crate) fn next(&self) -> Option<Micros> {
+    /// When the first is due.
+    pub fn next(&self) -> Option<Micros> {
         self.queue.first_key_value().map(|((at, _), _)| *at)
     }
 
-    pub(crate) fn due(&mut self, now: Micros) -> Option<T> {
+    /// The first that is due at `now`, taken out.
+    pub fn due(&mut self, now: Micros) -> Option<T> {
         if self.next()? <= now { self.queue.pop_first().map(|(_, alarm)| alarm) } else { None }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,10 +15,14 @@
 pub mod life;
 pub mod nodes;
 pub mod record;
+mod retry;
 
+pub use alarms::Alarms;
 pub use engine::{Control, Core, Counters, Input, Limits, NodeNews, Output, Standing, TurnedAway};
 pub use jobs::{Answer, End, Job, JobId, JobState, Program, Submission};
 
+pub use retry::Retry;
+
 use peppercove::{Action, Event, Micros, Scheduler};
 
 /// What decides: the decision module, or a stand-in for it in a test.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -8,9 +8,8 @@
 mod greeting;
 mod listing;
 mod nodes;
-mod retry;
 
 pub use greeting::{GreetError, Greeting, Step};
 pub use listing::list_input;
 pub use nodes::{Heard, frame, heard, limits, request_of, submission_of, work_of};
-pub use retry::Retry;
+pub use peppercove_core::Retry;
--- /dev/null
+++ b/crates/platform/src/desk.rs
@@ -0,0 +1,940 @@
+//! The state machine between the platform's messages and the decision module.
+//!
+//! It stands where the simulator stood: attempts are numbered in the order of the module's binds, each ends once, each
+//! set-up is answered once, and what the module is told has the simulator's meaning. It decides nothing: what it holds
+//! are facts of connections, attempts and tasks, and every answer that is not a bound's or a reader's is the module's.
+
+mod hosts;
+mod read;
+
+use crate::config::Config;
+use crate::feed::Entry;
+use crate::wire::{Kind, Message, cause, code};
+use bytes::Bytes;
+use hosts::Hosts;
+use peppercove::wire::Shape;
+use peppercove::{
+    Action, Event, ListScope, Load, MachineId, Micros, Outcome, RequestId, Settings, TaskKey, Why,
+};
+use peppercove_core::life::Life;
+use peppercove_core::{Alarms, Decide};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// A connection of owners, as the shell numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OwnerId(pub u64);
+
+/// A connection to a host, as the desk numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// How a connection to a host came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Down {
+    /// It was refused: no process is there.
+    Refused,
+    /// It did not come up in time.
+    NotUp,
+    /// It broke, was closed, or could not be read any more, after so many bytes were written.
+    Broke {
+        /// Bytes that the system had taken.
+        written: u64,
+    },
+}
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum Input {
+    /// The start, with the journal service's events so far.
+    Begin(Vec<Entry>),
+    /// Events of the journal service that follow the last one held; none, where a call was answered with nothing new.
+    List(Vec<Entry>),
+    /// The journal service broke off, went silent or was out of reach.
+    ListFailed,
+    /// A message of an owner.
+    Owner(OwnerId, Message),
+    /// An owner's connection is closed.
+    OwnerGone(OwnerId),
+    /// A connection to a host is up.
+    LinkUp(LinkId),
+    /// A message of a host.
+    Host(LinkId, Message),
+    /// A connection to a host is closed, or never came up.
+    LinkDown(LinkId, Down),
+    /// Time has passed.
+    Tick,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Write to an owner.
+    Reply(OwnerId, Bytes),
+    /// Open a connection to a host.
+    Dial(LinkId, SocketAddr),
+    /// Write to a host.
+    Send(LinkId, Bytes),
+    /// Close a connection to a host.
+    Hang(LinkId),
+    /// Call the journal service anew.
+    Watch,
+    /// A line of the module for the people on call.
+    Log(String),
+}
+
+/// What bounds a desk.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Set-ups without an answer, of all owners.
+    pub open: usize,
+    /// Set-ups without an answer on one connection.
+    pub open_each: usize,
+    /// Tasks that stand.
+    pub standing: usize,
+    /// Connections to one host that set-ups are spread over.
+    pub links: usize,
+    /// A silent connection to a host with tasks is tested this often.
+    pub test_every: Micros,
+    /// Tasks on a host that answers no test and takes no connection count as lost after this.
+    pub lost_after: Micros,
+    /// An end that could be told to nobody is kept so long.
+    pub keep_ends: Micros,
+}
+
+impl Bounds {
+    /// The page of the platform lets 8 s pass before an end is told that no host could tell.
+    const TOLD_WITHIN: Micros = 8_000_000;
+
+    /// Bounds for a configuration.
+    pub fn of(config: &Config) -> Bounds {
+        // Some tens of KiB a set-up at the worst: a quarter of the memory may wait for answers.
+        let open = (config.limits.memory_mb as usize * 1024 / 4 / 32).clamp(64, 65_536);
+        Bounds {
+            open,
+            open_each: (open / 4).clamp(16, 256),
+            standing: open * 8,
+            links: 1,
+            test_every: config.dial_timeout() * 2,
+            lost_after: Bounds::TOLD_WITHIN / 2,
+            keep_ends: Bounds::TOLD_WITHIN,
+        }
+    }
+}
+
+/// What happened so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Set-ups taken in.
+    pub taken: u64,
+    /// Set-ups that could be read but not be used.
+    pub unusable: u64,
+    /// Set-ups turned away by a bound.
+    pub surplus: u64,
+    /// Attempts sent or queued.
+    pub binds: u64,
+    /// Answers passed on.
+    pub placed: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Failures.
+    pub failed: u64,
+    /// Set-ups that their owners gave up.
+    pub abandoned: u64,
+    /// Ends told to owners.
+    pub ended: u64,
+    /// Words of hosts that belong to nothing open.
+    pub stray: u64,
+    /// Tasks that ended with their host.
+    pub lost: u64,
+}
+
+/// What is kept of a set-up until it is answered, to pass it on unchanged.
+#[derive(Debug)]
+struct Body {
+    class: Box<[u8]>,
+    task: Box<[u8]>,
+    key: Option<Box<[u8]>>,
+    description: Option<Box<[u8]>>,
+}
+
+/// One attempt.
+#[derive(Debug)]
+struct Try {
+    machine: MachineId,
+    link: LinkId,
+    stage: Stage,
+    expires: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Its connection is not up yet.
+    Queued,
+    /// Written to the connection's queue behind so many bytes.
+    Out(u64),
+    /// Its host gave its last word.
+    Told,
+    /// It ended without one.
+    GivenUp,
+}
+
+impl Stage {
+    fn is_open(self) -> bool {
+        matches!(self, Stage::Queued | Stage::Out(_))
+    }
+}
+
+/// One set-up, until its task is over.
+#[derive(Debug)]
+struct Ask {
+    wire: u64,
+    task: TaskKey,
+    owner: OwnerId,
+    deadline: Micros,
+    life: Life,
+    placed_at: Micros,
+    body: Option<Body>,
+    tries: Vec<Try>,
+}
+
+#[derive(Debug, Default)]
+struct Owner {
+    open: BTreeSet<RequestId>,
+    /// It has brought a set-up that could be used.
+    usual: bool,
+}
+
+#[derive(Debug)]
+enum Alarm {
+    Module(u64),
+    Try(RequestId, u16),
+    Deadline(RequestId),
+    Watch(MachineId),
+    Redial(MachineId),
+    Forget(MachineId),
+}
+
+/// One controller on the platform, around a decision module.
+#[derive(Debug)]
+pub struct Desk<D> {
+    module: D,
+    settings: Settings,
+    shape: Shape,
+    bounds: Bounds,
+    now: Micros,
+    consulted: Option<Micros>,
+    events: Vec<Event>,
+    asks: BTreeMap<RequestId, Ask>,
+    wires: BTreeMap<u64, RequestId>,
+    /// Asks that are over, to be forgotten once the module has been told.
+    over: Vec<RequestId>,
+    owners: BTreeMap<OwnerId, Owner>,
+    /// Ends that no connection could be found for, and until when they are worth telling.
+    untold: VecDeque<(Micros, Bytes)>,
+    hosts: Hosts,
+    alarms: Alarms<Alarm>,
+    next_request: u64,
+    open: usize,
+    counters: Counters,
+    out: Vec<Output>,
+}
+
+impl<D: Decide> Desk<D> {
+    /// A desk that has just started.
+    pub fn new(module: D, settings: Settings, shape: Shape, bounds: Bounds, seed: u64) -> Desk<D> {
+        Desk {
+            module,
+            settings,
+            shape,
+            bounds,
+            now: 0,
+            consulted: None,
+            events: Vec::new(),
+            asks: BTreeMap::new(),
+            wires: BTreeMap::new(),
+            over: Vec::new(),
+            owners: BTreeMap::new(),
+            untold: VecDeque::new(),
+            hosts: Hosts::new(seed),
+            alarms: Alarms::default(),
+            next_request: 1,
+            open: 0,
+            counters: Counters::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes in what happened at `now`, in microseconds since the Unix epoch, and returns what to do about it.
+    pub fn handle(&mut self, now: Micros, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Begin(entries) => self.begin(entries),
+            Input::List(entries) => self.on_list(entries),
+            Input::ListFailed => {
+                let (scope, version, lines) = (ListScope::Failed, 0, Vec::new());
+                self.events.push(Event::MachineList { scope, version, lines });
+            }
+            Input::Owner(owner, message) => self.on_owner(owner, message),
+            Input::OwnerGone(owner) => self.on_owner_gone(owner),
+            Input::LinkUp(link) => self.on_link_up(link),
+            Input::Host(link, message) => self.on_host(link, &message),
+            Input::LinkDown(link, how) => self.on_link_down(link, how),
+            Input::Tick => {}
+        }
+        while let Some(alarm) = self.alarms.due(self.now) {
+            self.on_alarm(alarm);
+        }
+        self.consult();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When it wants to be called at the latest.
+    pub fn next_wake(&self) -> Option<Micros> {
+        let batch = (!self.events.is_empty()).then(|| self.next_batch());
+        [self.alarms.next(), batch].into_iter().flatten().min()
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Set-ups without an answer.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Tasks that stand.
+    pub fn standing(&self) -> usize {
+        self.hosts.standing()
+    }
+
+    /// An owner's connection has a set-up without an answer.
+    pub fn is_waited_for(&self, owner: OwnerId) -> bool {
+        self.owners.get(&owner).is_some_and(|o| !o.open.is_empty())
+    }
+
+    /// An owner's connection has brought a set-up that could be used.
+    pub fn is_usual(&self, owner: OwnerId) -> bool {
+        self.owners.get(&owner).is_some_and(|o| o.usual)
+    }
+
+    // ---- The module ----
+
+    fn next_batch(&self) -> Micros {
+        self.consulted.map_or(0, |at| at.saturating_add(self.settings.tick))
+    }
+
+    /// Hands the module what has come since its last batch, and carries its actions out.
+    fn consult(&mut self) {
+        if self.events.is_empty() || self.now < self.next_batch() {
+            return;
+        }
+        self.consulted = Some(self.now);
+        let events = std::mem::take(&mut self.events);
+        for action in self.module.decide(self.now, &events) {
+            self.carry_out(action);
+        }
+        // The module knows of their end: it names them no more.
+        for request in std::mem::take(&mut self.over) {
+            self.asks.remove(&request);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Watch => self.out.push(Output::Watch),
+            Action::Bind { request, machine, timeout } => self.bind(request, machine, timeout),
+            Action::Withdraw { request, attempt } => {
+                // The one that placed the task cannot be withdrawn any more.
+                let open = |a: &Ask| a.tries.get(usize::from(attempt)).is_some_and(|t| t.stage.is_open());
+                if self.asks.get(&request).is_some_and(open) {
+                    self.give_up(request, attempt, Outcome::Withdrawn, false);
+                }
+            }
+            Action::Refuse { request, .. } => {
+                if self.answer(request, Message::release(0, cause::TURNED_AWAY)) {
+                    self.counters.refused += 1;
+                }
+            }
+            Action::Fail(request) => {
+                if self.answer(request, Message::release(0, cause::CUT)) {
+                    self.counters.failed += 1;
+                }
+            }
+            Action::Move(request) => self.move_on(request),
+            Action::SetTimer { label, at } => self.alarms.set(at.max(self.now + 1), Alarm::Module(label)),
+            Action::Log(line) => self.out.push(Output::Log(line)),
+            // Hosts here have no load to be asked for, and controllers no way to each other.
+            Action::Probe(_) | Action::Tell(_) => {}
+        }
+    }
+
+    fn on_alarm(&mut self, alarm: Alarm) {
+        match alarm {
+            Alarm::Module(label) => self.events.push(Event::Timer(label)),
+            Alarm::Try(request, attempt) => {
+                let open = |a: &Ask| a.tries.get(usize::from(attempt)).is_some_and(|t| t.stage.is_open());
+                if self.asks.get(&request).is_some_and(open) {
+                    self.give_up(request, attempt, Outcome::TimedOut, false);
+                }
+            }
+            Alarm::Deadline(request) => {
+                if self.asks.get(&request).is_some_and(|a| a.life.is_open()) {
+                    self.abandon(request);
+                }
+            }
+            Alarm::Watch(machine) => self.watch(machine),
+            Alarm::Redial(machine) => self.redial(machine),
+            Alarm::Forget(machine) => self.forget(machine),
+        }
+    }
+
+    // ---- The list ----
+
+    fn begin(&mut self, entries: Vec<Entry>) {
+        let version = entries.last().map_or(0, |e| e.pos);
+        for hosts in entries.into_iter().filter_map(|e| e.hosts) {
+            self.hosts.learn(&hosts, &self.shape);
+        }
+        let lines = self.hosts.lines();
+        self.events.push(Event::MachineList { scope: ListScope::Cached, version, lines });
+    }
+
+    fn on_list(&mut self, entries: Vec<Entry>) {
+        if entries.is_empty() {
+            // A call that brings nothing new is answered all the same.
+            let version = self.hosts.version;
+            let (scope, lines) = (ListScope::Delta, Vec::new());
+            self.events.push(Event::MachineList { scope, version, lines });
+        }
+        for entry in entries {
+            let version = entry.pos;
+            self.hosts.version = version;
+            let Some(hosts) = entry.hosts else { continue };
+            let scope = if hosts.full { ListScope::Full } else { ListScope::Delta };
+            let news = self.hosts.learn(&hosts, &self.shape);
+            self.events.push(Event::MachineList { scope, version, lines: news.lines });
+            for (machine, started_at) in news.restarted {
+                // A process that starts anew holds nothing of its earlier life.
+                self.lose(machine, started_at);
+            }
+            for machine in news.gone {
+                // What it still has to say on an open connection comes first.
+                self.alarms.set(self.now + self.bounds.test_every, Alarm::Forget(machine));
+            }
+        }
+    }
+
+    // ---- Owners ----
+
+    fn on_owner(&mut self, from: OwnerId, message: Message) {
+        match message.kind {
+            Kind::SetUp => self.on_set_up(from, &message),
+            Kind::Test => {
+                let passed = Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]);
+                self.out.push(Output::Reply(from, passed.encode()));
+            }
+            Kind::Release => self.on_owner_release(from, &message),
+            // Nothing that an owner would send, or nothing that means anything.
+            Kind::Progress | Kind::Answer | Kind::Heard | Kind::Note | Kind::Move | Kind::Tested => {}
+        }
+    }
+
+    fn on_set_up(&mut self, from: OwnerId, message: &Message) {
+        let read = read::set_up(message, &self.settings, &self.shape);
+        let turn_away = Message::release(message.id, cause::TURNED_AWAY).encode();
+        let (mut request, at, body) = match read {
+            Ok(read) => read,
+            Err(_) => {
+                self.counters.unusable += 1;
+                // One that names a host is answered by nobody; neither is one that would answer for another.
+                let held = self.wires.get(&message.id).and_then(|r| self.asks.get(r));
+                if held.is_none_or(|a| a.owner != from) && !read::names_host(message) {
+                    self.out.push(Output::Reply(from, turn_away));
+                }
+                return;
+            }
+        };
+        request.request = RequestId(self.next_request);
+        let held = self.wires.get(&message.id).and_then(|r| self.asks.get(r));
+        if let Some(host) = at {
+            let machine = self.hosts.named(&host);
+            let twice = held.is_some() || self.hosts.holds(machine, request.task);
+            if !twice && self.hosts.standing() < self.bounds.standing {
+                self.stand(from, message.id, request, machine);
+            }
+            return;
+        }
+        if let Some(held) = held {
+            // Under the id of an open set-up: the first is not disturbed. On its own connection its answer is the
+            // only one that may carry the id.
+            self.counters.unusable += 1;
+            if held.owner != from {
+                self.out.push(Output::Reply(from, turn_away));
+            }
+            return;
+        }
+        let owner = self.owners.entry(from).or_default();
+        if owner.open.len() >= self.bounds.open_each || self.open >= self.bounds.open {
+            self.counters.surplus += 1;
+            self.out.push(Output::Reply(from, turn_away));
+            return;
+        }
+        owner.open.insert(request.request);
+        owner.usual = true;
+        self.next_request += 1;
+        self.open += 1;
+        self.counters.taken += 1;
+        let deadline = self.now.saturating_add(request.deadline_in);
+        // The owner gives up by itself; this is for one that is cut off.
+        self.alarms.set(
+            deadline.saturating_add(self.settings.answer_slack + self.bounds.test_every),
+            Alarm::Deadline(request.request),
+        );
+        self.wires.insert(message.id, request.request);
+        let ask = Ask {
+            wire: message.id,
+            task: request.task,
+            owner: from,
+            deadline,
+            life: Life::Waiting,
+            placed_at: 0,
+            body: Some(body),
+            tries: Vec::new(),
+        };
+        self.asks.insert(request.request, ask);
+        self.events.push(Event::Place(request));
+        self.tell_untold(from);
+    }
+
+    /// A task that a host holds already is this controller's from now on.
+    fn stand(&mut self, from: OwnerId, wire: u64, request: peppercove::Request, machine: MachineId) {
+        let id = request.request;
+        self.next_request += 1;
+        self.owners.entry(from).or_default().usual = true;
+        let (task, link) = (request.task, LinkId(0));
+        let first = Try { machine, link, stage: Stage::Told, expires: self.now };
+        let ask = Ask {
+            wire,
+            task,
+            owner: from,
+            deadline: self.now,
+            life: Life::Placed(0),
+            placed_at: self.now,
+            body: None,
+            tries: vec![first],
+        };
+        self.wires.insert(wire, id);
+        self.asks.insert(id, ask);
+        self.events.push(Event::Standing { request, machine });
+        self.stands_at(machine, id, task);
+    }
+
+    fn on_owner_release(&mut self, from: OwnerId, message: &Message) {
+        let Some(&request) = self.wires.get(&message.id) else { return };
+        let Some(ask) = self.asks.get(&request) else { return };
+        match ask.life {
+            // A set-up is given up on its own connection alone: an id is no proof of who sends it.
+            Life::Waiting | Life::Offered(_) if ask.owner == from => self.abandon(request),
+            Life::Waiting | Life::Offered(_) | Life::Over => {}
+            // A standing task belongs to no connection. Its host is told, and owes its owner nothing.
+            Life::Placed(n) => {
+                self.cut(request, n, message.cause().unwrap_or(cause::ORDINARY));
+                self.finish(request, n, Outcome::Withdrawn, Why::Unknown, None);
+            }
+        }
+    }
+
+    fn on_owner_gone(&mut self, owner: OwnerId) {
+        let Some(gone) = self.owners.remove(&owner) else { return };
+        for request in gone.open {
+            self.abandon(request);
+        }
+    }
+
+    /// The owner waits no more: no answer is owed.
+    fn abandon(&mut self, request: RequestId) {
+        self.counters.abandoned += 1;
+        self.events.push(Event::Unwanted(request));
+        self.close(request);
+    }
+
+    /// The set-up is over without a placed task: what is out is given up.
+    fn close(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        if !ask.life.is_open() {
+            return;
+        }
+        let out = match ask.life {
+            Life::Offered(n) => Some(n),
+            _ => None,
+        };
+        let stepped = ask.life.step(Life::Over);
+        debug_assert!(stepped.is_ok());
+        ask.body = None;
+        self.open -= 1;
+        self.wires.remove(&ask.wire);
+        if let Some(owner) = self.owners.get_mut(&ask.owner) {
+            owner.open.remove(&request);
+        }
+        self.over.push(request);
+        if let Some(attempt) = out {
+            self.give_up(request, attempt, Outcome::Withdrawn, true);
+        }
+    }
+
+    /// The module's final answer, at once; false where none is owed any more.
+    fn answer(&mut self, request: RequestId, mut message: Message) -> bool {
+        let Some(ask) = self.asks.get(&request).filter(|a| a.life.is_open()) else { return false };
+        message.id = ask.wire;
+        self.out.push(Output::Reply(ask.owner, message.encode()));
+        self.close(request);
+        true
+    }
+
+    // ---- Attempts ----
+
+    fn bind(&mut self, request: RequestId, machine: MachineId, timeout: Option<Micros>) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let attempt = ask.tries.len() as u16;
+        let expires = timeout.map_or(ask.deadline, |t| self.now.saturating_add(t).min(ask.deadline));
+        let over = !ask.life.is_open();
+        let possible = ask.life == Life::Waiting
+            && ask.tries.len() < self.settings.max_attempts as usize
+            && expires > self.now;
+        ask.tries.push(Try { machine, link: LinkId(0), stage: Stage::GivenUp, expires });
+        if !possible {
+            self.ended(request, attempt, machine, Outcome::NotSent, Why::Unknown, over, None);
+            return;
+        }
+        let carried: Vec<LinkId> = ask.tries.iter().map(|t| t.link).collect();
+        let Some(link) = self.hosts.link_for(machine, &carried, self.now, self.bounds, &mut self.out) else {
+            self.ended(request, attempt, machine, Outcome::Unreachable, Why::Unknown, false, None);
+            return;
+        };
+        self.counters.binds += 1;
+        let stepped = ask.life.step(Life::Offered(attempt));
+        debug_assert!(stepped.is_ok());
+        let new = &mut ask.tries[usize::from(attempt)];
+        (new.link, new.stage) = (link, Stage::Queued);
+        self.alarms.set(expires, Alarm::Try(request, attempt));
+        self.hosts.queue(link, request, attempt);
+        if self.hosts.is_up(link) {
+            self.send_queued(link);
+        }
+    }
+
+    /// Writes the set-ups that waited for their connection.
+    fn send_queued(&mut self, link: LinkId) {
+        for (request, attempt) in self.hosts.queued(link) {
+            let Some(ask) = self.asks.get_mut(&request) else { continue };
+            let Some(t) = ask.tries.get_mut(usize::from(attempt)).filter(|t| t.stage == Stage::Queued) else {
+                continue;
+            };
+            let Some(body) = &ask.body else { continue };
+            // Rounded up: a host that stops early would turn away what this side still waits for.
+            let wait = t.expires.saturating_sub(self.now).div_ceil(1000);
+            let mut message = Message::new(Kind::SetUp, ask.wire)
+                .with(code::CLASS, &body.class)
+                .with(code::WAIT, wait.to_string().as_bytes())
+                .with(code::TASK, &body.task);
+            if let Some(key) = &body.key {
+                message = message.with(code::KEY, key);
+            }
+            if let Some(description) = &body.description {
+                message = message.with(code::DESCRIPTION, description);
+            }
+            let frame = message.encode();
+            t.stage = Stage::Out(self.hosts.sent(link, frame.len()));
+            self.hosts.out(link, request, attempt);
+            self.out.push(Output::Send(link, frame));
+        }
+    }
+
+    /// Stops waiting for an attempt that is out, and tells its host.
+    fn give_up(&mut self, request: RequestId, attempt: u16, outcome: Outcome, over: bool) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let Some(t) = ask.tries.get_mut(usize::from(attempt)).filter(|t| t.stage.is_open()) else { return };
+        let (link, machine, wire) = (t.link, t.machine, ask.wire);
+        let sent = t.stage != Stage::Queued;
+        if sent && self.hosts.is_up(link) {
+            self.send(link, &Message::release(wire, cause::ORDINARY));
+        }
+        // What never left its queue is known not to have run, whatever ended the wait.
+        let outcome = if sent || outcome == Outcome::Withdrawn { outcome } else { Outcome::Unreachable };
+        self.end_try(request, attempt, Stage::GivenUp, over);
+        self.ended(request, attempt, machine, outcome, Why::Unknown, over, None);
+    }
+
+    /// Takes an attempt off its connection; the set-up waits again unless it is over.
+    fn end_try(&mut self, request: RequestId, attempt: u16, stage: Stage, over: bool) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let Some(t) = ask.tries.get_mut(usize::from(attempt)) else { return };
+        t.stage = stage;
+        self.hosts.off(t.link, request, attempt);
+        if !over {
+            let stepped = ask.life.step(Life::Waiting);
+            debug_assert!(stepped.is_ok());
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self, request: RequestId, attempt: u16, machine: MachineId, outcome: Outcome, why: Why,
+        over: bool, load: Option<Load>,
+    ) {
+        self.events.push(Event::Ended { request, attempt, machine, outcome, why, over, load });
+    }
+
+    // ---- Standing tasks ----
+
+    /// A task that stood is over: the module is told, the task forgotten.
+    fn finish(&mut self, request: RequestId, attempt: u16, outcome: Outcome, why: Why, load: Option<Load>) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        if ask.life.step(Life::Over).is_err() {
+            return;
+        }
+        let Some(machine) = ask.tries.get(usize::from(attempt)).map(|t| t.machine) else { return };
+        self.wires.remove(&ask.wire);
+        self.hosts.stands_no_more(machine, request);
+        self.over.push(request);
+        self.ended(request, attempt, machine, outcome, why, true, load);
+    }
+
+    /// Tells the owner that its task is over.
+    fn tell_end(&mut self, request: RequestId, cause: u8) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        self.counters.ended += 1;
+        let frame = Message::release(ask.wire, cause).encode();
+        let own = self.owners.contains_key(&ask.owner).then_some(ask.owner);
+        // Where its connection is closed, any other will do: none owns a standing task.
+        let other = || self.owners.iter().rev().find(|(_, o)| o.usual).map(|(id, _)| *id);
+        match own.or_else(other) {
+            Some(owner) => self.out.push(Output::Reply(owner, frame)),
+            None => {
+                self.untold.push_back((self.now.saturating_add(self.bounds.keep_ends), frame));
+                while self.untold.len() > self.bounds.open {
+                    self.untold.pop_front();
+                }
+            }
+        }
+    }
+
+    /// Ends that nobody could be told are told to the first owner that comes.
+    fn tell_untold(&mut self, owner: OwnerId) {
+        for (until, frame) in std::mem::take(&mut self.untold) {
+            if until > self.now {
+                self.out.push(Output::Reply(owner, frame));
+            }
+        }
+    }
+
+    /// Cuts a standing task at its host.
+    fn cut(&mut self, request: RequestId, attempt: u16, cause: u8) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let Some(t) = ask.tries.get(usize::from(attempt)) else { return };
+        let (machine, wire, link) = (t.machine, ask.wire, t.link);
+        let link = Some(link).filter(|l| self.hosts.is_up(*l)).or_else(|| self.hosts.any_up(machine));
+        match link {
+            Some(link) => self.send(link, &Message::release(wire, cause)),
+            // Told on the next connection that comes up.
+            None => self.hosts.owe(machine, Message::release(wire, cause).encode(), self.bounds.open_each),
+        }
+    }
+
+    fn move_on(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let Life::Placed(attempt) = ask.life else { return };
+        let (owner, wire) = (ask.owner, ask.wire);
+        self.out.push(Output::Reply(owner, Message::new(Kind::Move, wire).encode()));
+        self.cut(request, attempt, cause::CALLED_OFF);
+        self.finish(request, attempt, Outcome::Withdrawn, Why::Unknown, None);
+    }
+
+    fn stands_at(&mut self, machine: MachineId, request: RequestId, task: TaskKey) {
+        if self.hosts.stands(machine, request, task, self.now) {
+            self.alarms.set(self.now + self.bounds.test_every, Alarm::Watch(machine));
+            self.redial(machine);
+        }
+    }
+
+    /// Tasks that stood on a machine before `since` are lost with it.
+    fn lose(&mut self, machine: MachineId, since: Micros) {
+        for request in self.hosts.standing_at(machine) {
+            let Some(ask) = self.asks.get(&request) else { continue };
+            let Life::Placed(attempt) = ask.life else { continue };
+            if ask.placed_at < since {
+                self.counters.lost += 1;
+                self.tell_end(request, cause::CUT);
+                self.finish(request, attempt, Outcome::Lost, Why::Unknown, None);
+            }
+        }
+    }
+
+    // ---- Connections to hosts ----
+
+    fn send(&mut self, link: LinkId, message: &Message) {
+        let frame = message.encode();
+        self.hosts.sent(link, frame.len());
+        self.out.push(Output::Send(link, frame));
+    }
+
+    fn on_link_up(&mut self, link: LinkId) {
+        for frame in self.hosts.up(link, self.now) {
+            self.hosts.sent(link, frame.len());
+            self.out.push(Output::Send(link, frame));
+        }
+        self.send_queued(link);
+    }
+
+    fn on_link_down(&mut self, link: LinkId, how: Down) {
+        let Some(down) = self.hosts.down(link) else { return };
+        for (request, attempt) in down.tries {
+            let Some(ask) = self.asks.get(&request) else { continue };
+            let Some(t) = ask.tries.get(usize::from(attempt)) else { continue };
+            let outcome = match (t.stage, how) {
+                (Stage::Queued, _) => Outcome::Unreachable,
+                // Not one byte of it had left.
+                (Stage::Out(at), Down::Broke { written }) if written <= at => Outcome::Unreachable,
+                (Stage::Out(_), _) => Outcome::Lost,
+                (Stage::Told | Stage::GivenUp, _) => continue,
+            };
+            self.end_try(request, attempt, Stage::GivenUp, false);
+            self.ended(request, attempt, down.machine, outcome, Why::Unknown, false, None);
+        }
+        if how == Down::Refused || self.hosts.is_gone(down.machine) {
+            // No process is there any more: its tasks went with it.
+            self.lose(down.machine, Micros::MAX);
+        }
+        if let Some(wait) = self.hosts.wait_to_redial(down.machine) {
+            self.alarms.set(self.now + wait, Alarm::Redial(down.machine));
+        }
+    }
+
+    /// Tasks stand there, so that a connection is kept over which their ends can come.
+    fn redial(&mut self, machine: MachineId) {
+        self.hosts.keep_link(machine, &mut self.out);
+    }
+
+    /// Tests silent connections of a machine on which tasks stand.
+    fn watch(&mut self, machine: MachineId) {
+        let Some(watched) = self.hosts.watch(machine, self.now, self.bounds) else { return };
+        self.alarms.set(self.now + self.bounds.test_every, Alarm::Watch(machine));
+        for link in watched.test {
+            self.send(link, &Message::new(Kind::Test, link.0).with(code::CAUSE, &[0]));
+        }
+        self.out.extend(watched.hang.into_iter().map(Output::Hang));
+        if watched.lost {
+            self.lose(machine, Micros::MAX);
+        }
+    }
+
+    /// A machine that left keeps nothing.
+    fn forget(&mut self, machine: MachineId) {
+        if !self.hosts.is_gone(machine) {
+            return;
+        }
+        self.lose(machine, Micros::MAX);
+        let links = self.hosts.links_of(machine);
+        self.out.extend(links.into_iter().map(Output::Hang));
+        self.hosts.forget(machine);
+    }
+
+    // ---- Words of hosts ----
+
+    fn on_host(&mut self, link: LinkId, message: &Message) {
+        let Some(machine) = self.hosts.heard(link, self.now) else { return };
+        if !matches!(message.kind, Kind::Answer | Kind::Release | Kind::Note) {
+            return;
+        }
+        let Some((request, attempt)) = self.meant(link, machine, message.id) else {
+            self.counters.stray += 1;
+            return;
+        };
+        match message.kind {
+            Kind::Answer => self.on_answer(request, attempt, machine, message),
+            Kind::Release => self.on_release(request, attempt, machine, message),
+            _ => {
+                if let Some(note) = read::note(message) {
+                    self.events.push(Event::Noted { request, attempt, machine, note });
+                }
+            }
+        }
+    }
+
+    /// The attempt that a word on a connection is about. An attempt is known by its id and its connection: a word on
+    /// the connection of an earlier one that ended without its host's word may be that one's, and is not the present
+    /// one's.
+    fn meant(&self, link: LinkId, machine: MachineId, wire: u64) -> Option<(RequestId, u16)> {
+        let request = *self.wires.get(&wire)?;
+        let ask = self.asks.get(&request)?;
+        match ask.life {
+            Life::Offered(n) => {
+                let t = ask.tries.get(usize::from(n))?;
+                (t.link == link && matches!(t.stage, Stage::Out(_))).then_some((request, n))
+            }
+            Life::Placed(n) => {
+                let t = ask.tries.get(usize::from(n))?;
+                let earlier = |e: &Try| e.link == link && e.stage == Stage::GivenUp;
+                let others = t.link != link && ask.tries.iter().any(earlier);
+                (t.machine == machine && !others).then_some((request, n))
+            }
+            Life::Waiting | Life::Over => None,
+        }
+    }
+
+    fn on_answer(&mut self, request: RequestId, attempt: u16, machine: MachineId, message: &Message) {
+        let now = self.now;
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        // A second copy says nothing new.
+        let Life::Offered(_) = ask.life else { return };
+        let Some(description) = message.get(code::DESCRIPTION) else {
+            // It has no description to be passed on: the task may stand, but cannot be answered for.
+            self.end_try(request, attempt, Stage::GivenUp, false);
+            self.ended(request, attempt, machine, Outcome::Lost, Why::Unknown, false, None);
+            return;
+        };
+        let stepped = ask.life.step(Life::Placed(attempt));
+        debug_assert!(stepped.is_ok());
+        (ask.placed_at, ask.body) = (now, None);
+        let (owner, wire, task) = (ask.owner, ask.wire, ask.task);
+        let t = &mut ask.tries[usize::from(attempt)];
+        t.stage = Stage::Told;
+        self.hosts.off(t.link, request, attempt);
+        let answer = Message::new(Kind::Answer, wire).with(code::DESCRIPTION, description);
+        self.out.push(Output::Reply(owner, answer.encode()));
+        self.open -= 1;
+        self.counters.placed += 1;
+        if let Some(owner) = self.owners.get_mut(&owner) {
+            owner.open.remove(&request);
+        }
+        self.events.push(Event::Placed { request, attempt, machine });
+        self.stands_at(machine, request, task);
+    }
+
+    fn on_release(&mut self, request: RequestId, attempt: u16, machine: MachineId, message: &Message) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let (why, load) = (read::why(message), read::load(message, &self.shape));
+        let cause = message.cause();
+        if ask.life.is_open() {
+            let outcome = match cause {
+                Some(cause::FULL) => Outcome::Refused,
+                Some(cause::ERROR) => Outcome::Error,
+                Some(cause::MOOT) => Outcome::NotSent,
+                _ => Outcome::Lost,
+            };
+            self.end_try(request, attempt, Stage::Told, false);
+            self.ended(request, attempt, machine, outcome, why, false, load);
+            return;
+        }
+        let outcome = match cause {
+            Some(cause::ORDINARY) => Outcome::Done,
+            Some(cause::CALLED_OFF) => Outcome::Withdrawn,
+            _ => Outcome::Lost,
+        };
+        self.tell_end(request, cause.unwrap_or(cause::CUT));
+        self.finish(request, attempt, outcome, why, load);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/desk/hosts.rs
@@ -0,0 +1,375 @@
+//! Hosts by their ids, the connections to them, and the tasks that stand there.
+
+use super::{Bounds, LinkId, Output};
+use crate::feed;
+use bytes::Bytes;
+use peppercove::wire::Shape;
+use peppercove::{MachineId, MachineLine, MachineState, Micros, RequestId, TaskKey};
+use peppercove_core::Retry;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// First and longest wait before a connection that tasks need is dialled anew.
+const REDIAL: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(1000)];
+
+/// One host. Its id names it: another one may take its address over.
+#[derive(Debug)]
+struct Host {
+    name: String,
+    address: Option<SocketAddr>,
+    line: MachineLine,
+    links: Vec<LinkId>,
+    standing: BTreeMap<RequestId, TaskKey>,
+    heard_at: Micros,
+    watched: bool,
+    retry: Retry,
+    /// Releases that no connection could take yet.
+    owed: VecDeque<Bytes>,
+}
+
+#[derive(Debug)]
+struct Link {
+    machine: MachineId,
+    up: bool,
+    queued: Vec<(RequestId, u16)>,
+    out: BTreeSet<(RequestId, u16)>,
+    bytes: u64,
+    /// Asked whether it works at this time, and silent since.
+    tested_at: Option<Micros>,
+    heard_at: Micros,
+    hung: bool,
+}
+
+/// What the list brought.
+#[derive(Debug, Default)]
+pub(super) struct News {
+    pub(super) lines: Vec<MachineLine>,
+    pub(super) restarted: Vec<(MachineId, Micros)>,
+    pub(super) gone: Vec<MachineId>,
+}
+
+/// A connection that is no more.
+#[derive(Debug)]
+pub(super) struct Fallen {
+    pub(super) machine: MachineId,
+    pub(super) tries: Vec<(RequestId, u16)>,
+}
+
+/// What is to be done about silent connections.
+#[derive(Debug, Default)]
+pub(super) struct Watched {
+    pub(super) test: Vec<LinkId>,
+    pub(super) hang: Vec<LinkId>,
+    pub(super) lost: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Hosts {
+    hosts: BTreeMap<MachineId, Host>,
+    links: BTreeMap<LinkId, Link>,
+    pub(super) version: u64,
+    standing: usize,
+    next_link: u64,
+    rng: fastrand::Rng,
+}
+
+impl Hosts {
+    pub(super) fn new(seed: u64) -> Hosts {
+        let rng = fastrand::Rng::with_seed(seed);
+        Hosts { hosts: BTreeMap::new(), links: BTreeMap::new(), version: 0, standing: 0, next_link: 1, rng }
+    }
+
+    /// The machine of an id: the same number at every controller, since the module ranks homes by it.
+    pub(super) fn named(&mut self, name: &str) -> MachineId {
+        let mut id = MachineId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+        while self.hosts.get(&id).is_some_and(|h| h.name != name) {
+            // Two ids of one hash: the later one moves on.
+            id = MachineId(id.0.wrapping_add(1));
+        }
+        self.hosts.entry(id).or_insert_with(|| Host {
+            name: name.to_owned(),
+            address: None,
+            line: MachineLine { machine: id, ..MachineLine::default() },
+            links: Vec::new(),
+            standing: BTreeMap::new(),
+            heard_at: 0,
+            watched: false,
+            retry: Retry::new(REDIAL[0], REDIAL[1]),
+            owed: VecDeque::new(),
+        });
+        id
+    }
+
+    /// Takes an event of the list in.
+    pub(super) fn learn(&mut self, told: &feed::Hosts, shape: &Shape) -> News {
+        let mut news = News::default();
+        let mut named = BTreeSet::new();
+        for host in &told.servers {
+            let id = self.named(&host.id);
+            named.insert(id);
+            let Some(held) = self.hosts.get_mut(&id) else { continue };
+            let index = |names: &[String], name: &Option<String>| {
+                let at = name.as_ref().map(|n| names.iter().position(|x| x == n));
+                // A name that the settings do not have is no index of theirs.
+                at.map(|at| at.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX))
+            };
+            held.address = host.addr.or(held.address);
+            let line = &mut held.line;
+            line.kind = index(&shape.kinds, &host.kind).unwrap_or(line.kind);
+            line.zone = index(&shape.zones, &host.zone).unwrap_or(line.zone);
+            line.rack = host.cell.unwrap_or(line.rack);
+            if let Some(ms) = host.started_ms {
+                let started_at = ms.saturating_mul(1000);
+                if started_at > line.started_at {
+                    news.restarted.push((id, started_at));
+                }
+                line.started_at = started_at;
+                line.life = started_at;
+            }
+            if let Some([cores, memory]) = host.room {
+                let seen = |x: f64| Some(x).filter(|x| shape.view && x.is_finite());
+                (line.free_cores, line.free_memory) = (seen(cores), seen(memory));
+            }
+            line.state = host.state.map_or(line.state, MachineState::from);
+            if line.state == MachineState::Gone {
+                news.gone.push(id);
+            }
+            news.lines.push(line.clone());
+        }
+        if told.full {
+            for (id, host) in &mut self.hosts {
+                if !named.contains(id) {
+                    host.line.state = MachineState::Gone;
+                    news.gone.push(*id);
+                }
+            }
+        }
+        news
+    }
+
+    /// All hosts that the list names.
+    pub(super) fn lines(&self) -> Vec<MachineLine> {
+        let listed = |h: &&Host| h.line.state != MachineState::Gone;
+        self.hosts.values().filter(listed).map(|h| h.line.clone()).collect()
+    }
+
+    pub(super) fn is_gone(&self, machine: MachineId) -> bool {
+        self.hosts.get(&machine).is_none_or(|h| h.line.state == MachineState::Gone)
+    }
+
+    pub(super) fn forget(&mut self, machine: MachineId) {
+        let unused = |h: &Host| h.links.is_empty() && h.standing.is_empty();
+        if self.is_gone(machine) && self.hosts.get(&machine).is_some_and(unused) {
+            self.hosts.remove(&machine);
+        }
+    }
+
+    // ---- Standing tasks ----
+
+    pub(super) fn standing(&self) -> usize {
+        self.standing
+    }
+
+    pub(super) fn standing_at(&self, machine: MachineId) -> Vec<RequestId> {
+        self.hosts.get(&machine).map(|h| h.standing.keys().copied().collect()).unwrap_or_default()
+    }
+
+    pub(super) fn holds(&self, machine: MachineId, task: TaskKey) -> bool {
+        self.hosts.get(&machine).is_some_and(|h| h.standing.values().any(|t| *t == task))
+    }
+
+    /// A task stands there from now on; true where nobody watched the host before.
+    pub(super) fn stands(
+        &mut self, machine: MachineId, request: RequestId, task: TaskKey, now: Micros,
+    ) -> bool {
+        let Some(host) = self.hosts.get_mut(&machine) else { return false };
+        if host.standing.insert(request, task).is_none() {
+            self.standing += 1;
+        }
+        if host.watched {
+            return false;
+        }
+        (host.watched, host.heard_at) = (true, now);
+        true
+    }
+
+    pub(super) fn stands_no_more(&mut self, machine: MachineId, request: RequestId) {
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
+        if host.standing.remove(&request).is_some() {
+            self.standing -= 1;
+        }
+    }
+
+    /// Looks at the connections of a host with tasks; `None` ends the watch.
+    pub(super) fn watch(&mut self, machine: MachineId, now: Micros, bounds: Bounds) -> Option<Watched> {
+        let host = self.hosts.get_mut(&machine)?;
+        let idle = host.links.iter().filter_map(|l| self.links.get(l)).all(|l| l.out.is_empty());
+        if host.standing.is_empty() && idle {
+            host.watched = false;
+            return None;
+        }
+        let mut watched = Watched::default();
+        for id in &host.links {
+            let Some(link) = self.links.get_mut(id).filter(|l| l.up && !l.hung) else { continue };
+            match link.tested_at {
+                Some(at) if at + bounds.lost_after <= now => {
+                    link.hung = true;
+                    watched.hang.push(*id);
+                }
+                Some(_) => {}
+                None if link.heard_at + bounds.test_every <= now => {
+                    link.tested_at = Some(now);
+                    watched.test.push(*id);
+                }
+                None => {}
+            }
+        }
+        watched.lost = host.heard_at + bounds.lost_after <= now;
+        Some(watched)
+    }
+
+    // ---- Connections ----
+
+    /// The connection for a set-up: one that carried none of its earlier attempts and has the fewest open, or a new
+    /// one. `None` where the host has no address.
+    pub(super) fn link_for(
+        &mut self, machine: MachineId, carried: &[LinkId], now: Micros, bounds: Bounds, out: &mut Vec<Output>,
+    ) -> Option<LinkId> {
+        let host = self.hosts.get(&machine)?;
+        let usable = |id: &&LinkId| {
+            let works = |l: &Link| !l.hung && l.tested_at.is_none_or(|at| at + bounds.test_every > now);
+            !carried.contains(id) && self.links.get(id).is_some_and(works)
+        };
+        let load = |id: &LinkId| self.links.get(id).map_or(0, |l| l.out.len() + l.queued.len());
+        let usable: Vec<LinkId> = host.links.iter().filter(usable).copied().collect();
+        let best = usable.iter().copied().min_by_key(|id| (load(id), *id));
+        match best {
+            Some(id) if load(&id) == 0 || usable.len() >= bounds.links => Some(id),
+            _ => self.dial(machine, out).or(best),
+        }
+    }
+
+    fn dial(&mut self, machine: MachineId, out: &mut Vec<Output>) -> Option<LinkId> {
+        let host = self.hosts.get_mut(&machine)?;
+        let address = host.address?;
+        let id = LinkId(self.next_link);
+        self.next_link += 1;
+        host.links.push(id);
+        let link = Link {
+            machine,
+            up: false,
+            queued: Vec::new(),
+            out: BTreeSet::new(),
+            bytes: 0,
+            tested_at: None,
+            heard_at: 0,
+            hung: false,
+        };
+        self.links.insert(id, link);
+        out.push(Output::Dial(id, address));
+        Some(id)
+    }
+
+    /// Dials a host with tasks that has no connection left.
+    pub(super) fn keep_link(&mut self, machine: MachineId, out: &mut Vec<Output>) {
+        let Some(host) = self.hosts.get(&machine) else { return };
+        let none = !host.links.iter().filter_map(|l| self.links.get(l)).any(|l| !l.hung);
+        if none && host.line.state != MachineState::Gone && !host.standing.is_empty() {
+            self.dial(machine, out);
+        }
+    }
+
+    /// How long to wait before that, where it is needed.
+    pub(super) fn wait_to_redial(&mut self, machine: MachineId) -> Option<Micros> {
+        let host = self.hosts.get_mut(&machine)?;
+        if host.standing.is_empty() || !host.links.is_empty() {
+            return None;
+        }
+        let wait = host.retry.failed(self.rng.f64());
+        Some(u64::try_from(wait.as_micros()).unwrap_or(0))
+    }
+
+    pub(super) fn links_of(&self, machine: MachineId) -> Vec<LinkId> {
+        self.hosts.get(&machine).map(|h| h.links.clone()).unwrap_or_default()
+    }
+
+    pub(super) fn is_up(&self, link: LinkId) -> bool {
+        self.links.get(&link).is_some_and(|l| l.up && !l.hung)
+    }
+
+    pub(super) fn any_up(&self, machine: MachineId) -> Option<LinkId> {
+        let host = self.hosts.get(&machine)?;
+        host.links.iter().copied().find(|l| self.is_up(*l))
+    }
+
+    /// A connection came up: the releases that waited for one.
+    pub(super) fn up(&mut self, link: LinkId, now: Micros) -> VecDeque<Bytes> {
+        let Some(l) = self.links.get_mut(&link) else { return VecDeque::new() };
+        (l.up, l.heard_at) = (true, now);
+        let Some(host) = self.hosts.get_mut(&l.machine) else { return VecDeque::new() };
+        host.heard_at = now;
+        host.retry.reset();
+        std::mem::take(&mut host.owed)
+    }
+
+    /// Something came over a connection: whose it is.
+    pub(super) fn heard(&mut self, link: LinkId, now: Micros) -> Option<MachineId> {
+        let l = self.links.get_mut(&link)?;
+        (l.tested_at, l.heard_at) = (None, now);
+        if let Some(host) = self.hosts.get_mut(&l.machine) {
+            host.heard_at = now;
+        }
+        Some(l.machine)
+    }
+
+    pub(super) fn down(&mut self, link: LinkId) -> Option<Fallen> {
+        let l = self.links.remove(&link)?;
+        if let Some(host) = self.hosts.get_mut(&l.machine) {
+            host.links.retain(|id| *id != link);
+        }
+        let tries = l.queued.into_iter().chain(l.out).collect();
+        Some(Fallen { machine: l.machine, tries })
+    }
+
+    /// A release that no connection can take now.
+    pub(super) fn owe(&mut self, machine: MachineId, frame: Bytes, most: usize) {
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
+        host.owed.push_back(frame);
+        while host.owed.len() > most {
+            host.owed.pop_front();
+        }
+    }
+
+    // ---- What is on a connection ----
+
+    pub(super) fn queue(&mut self, link: LinkId, request: RequestId, attempt: u16) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.queued.push((request, attempt));
+        }
+    }
+
+    pub(super) fn queued(&mut self, link: LinkId) -> Vec<(RequestId, u16)> {
+        self.links.get_mut(&link).map(|l| std::mem::take(&mut l.queued)).unwrap_or_default()
+    }
+
+    pub(super) fn out(&mut self, link: LinkId, request: RequestId, attempt: u16) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.insert((request, attempt));
+        }
+    }
+
+    pub(super) fn off(&mut self, link: LinkId, request: RequestId, attempt: u16) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.remove(&(request, attempt));
+            l.queued.retain(|q| *q != (request, attempt));
+        }
+    }
+
+    /// Counts bytes given to a connection; returns how many were before them.
+    pub(super) fn sent(&mut self, link: LinkId, bytes: usize) -> u64 {
+        let Some(l) = self.links.get_mut(&link) else { return 0 };
+        l.bytes += bytes as u64;
+        l.bytes - bytes as u64
+    }
+}
--- /dev/null
+++ b/crates/platform/src/desk/read.rs
@@ -0,0 +1,144 @@
+//! What the parameters of messages say, checked against the settings. What cannot be used never reaches the module.
+
+use super::Body;
+use crate::wire::{Message, code};
+use peppercove::wire::{Shape, report_value};
+use peppercove::{Load, Note, Repeat, Request, RequestId, ServiceId, Settings, TaskKey, Why};
+
+/// Why a set-up cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unusable {
+    Class,
+    Task,
+    Key,
+    Wait,
+    Figures,
+}
+
+/// The figures of a set-up.
+#[derive(Default)]
+struct Figures<'a> {
+    cores: Option<f64>,
+    memory: Option<f64>,
+    service: Option<&'a str>,
+    at: Option<&'a str>,
+}
+
+fn figures(message: &Message) -> Option<Figures<'_>> {
+    let mut figures = Figures::default();
+    for pair in message.text(code::FIGURES)?.split(';').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once(':')?;
+        match name.trim() {
+            "cores" => figures.cores = Some(value.trim().parse().ok()?),
+            "memory" => figures.memory = Some(value.trim().parse().ok()?),
+            "service" => figures.service = Some(value.trim()),
+            "at" => figures.at = Some(value.trim()),
+            _ => {}
+        }
+    }
+    Some(figures)
+}
+
+/// The set-up names a host that holds its task already.
+pub(super) fn names_host(message: &Message) -> bool {
+    figures(message).is_some_and(|f| f.at.is_some())
+}
+
+/// Names are hexadecimal here; any other text names something just as well.
+fn number(name: &str) -> u64 {
+    match u64::from_str_radix(name, 16) {
+        Ok(number) if name.len() == 16 => number,
+        _ => xxhash_rust::xxh3::xxh3_64(name.as_bytes()),
+    }
+}
+
+/// Reads a set-up: the request, the host that holds it already, and what is passed on unchanged.
+pub(super) fn set_up(
+    message: &Message, settings: &Settings, shape: &Shape,
+) -> Result<(Request, Option<String>, Body), Unusable> {
+    let name = message.text(code::CLASS).ok_or(Unusable::Class)?;
+    let index = shape.classes.iter().position(|c| c == name).ok_or(Unusable::Class)?;
+    let class = settings.classes.get(index).ok_or(Unusable::Class)?;
+    let task = message.text(code::TASK).filter(|t| !t.is_empty()).ok_or(Unusable::Task)?;
+    let key = message.get(code::KEY);
+    if matches!(class.repeat, Repeat::Keyed { .. }) && key.is_none_or(<[u8]>::is_empty) {
+        return Err(Unusable::Key);
+    }
+    let figures = figures(message).ok_or(Unusable::Figures)?;
+    // No machine of any kind accepts more: it is no figure of a task of this cluster.
+    let most = |of: fn(&peppercove::Kind) -> f64, accepts: f64| {
+        settings.kinds.iter().map(of).fold(0.0, f64::max) * accepts.max(1.0)
+    };
+    let within = |x: Option<f64>, most: f64| x.filter(|x| x.is_finite() && *x > 0.0 && *x <= most);
+    let cores = within(figures.cores, most(|k| k.cores, settings.accepts_cores)).ok_or(Unusable::Figures)?;
+    let memory =
+        within(figures.memory, most(|k| k.memory, settings.accepts_memory)).ok_or(Unusable::Figures)?;
+    let service = figures.service.filter(|s| !s.is_empty()).ok_or(Unusable::Figures)?;
+    let wait = match (message.text(code::WAIT).map(str::parse::<u64>), figures.at) {
+        (Some(Ok(ms)), _) => ms.saturating_mul(1000),
+        (_, Some(_)) => 0,
+        _ => return Err(Unusable::Wait),
+    };
+    // The settings say how long owners of the class wait; twice that is nobody's.
+    if figures.at.is_none() && (wait == 0 || wait > class.deadline.saturating_mul(2)) {
+        return Err(Unusable::Wait);
+    }
+    let request = Request {
+        request: RequestId(0),
+        task: TaskKey(number(task)),
+        service: ServiceId(number(service)),
+        class: index as u16,
+        tenant: 0,
+        cores,
+        memory,
+        deadline_in: wait,
+        life_hint: None,
+        again: message.text(code::RETRY) == Some("1"),
+    };
+    let body = Body {
+        class: name.as_bytes().into(),
+        task: task.as_bytes().into(),
+        key: key.map(Into::into),
+        description: message.get(code::DESCRIPTION).map(Into::into),
+    };
+    Ok((request, figures.at.map(str::to_owned), body))
+}
+
+/// Why a host refused or gave a task up.
+pub(super) fn why(message: &Message) -> Why {
+    match message.text(code::NOTE) {
+        Some("no_cores") => Why::NoCores,
+        Some("no_memory") => Why::NoMemory,
+        Some("queue_full") => Why::Busy,
+        Some("not_here") => Why::NotHere,
+        Some("evicted") => Why::Evicted,
+        Some("pushed_out") => Why::PushedOut,
+        Some("sent_away") => Why::SentAway,
+        _ => Why::Unknown,
+    }
+}
+
+/// The load report that came along.
+pub(super) fn load(message: &Message, shape: &Shape) -> Option<Load> {
+    let mut load = Load::default();
+    for pair in message.text(code::REPORT)?.split(';') {
+        let (name, value) = pair.split_once(':')?;
+        if shape.fields.iter().any(|f| f == name) || matches!(name, "util" | "queue") {
+            report_value(&mut load, name, value.parse().ok()?);
+        }
+    }
+    Some(load)
+}
+
+/// A note on a task that stands.
+pub(super) fn note(message: &Message) -> Option<Note> {
+    let figure = || message.text(code::FIGURE)?.parse().ok().filter(|x: &f64| x.is_finite());
+    Some(match message.text(code::NOTE)? {
+        "runs" => Note::Runs,
+        "cores" => Note::CoresUsed(figure()?),
+        "memory" => Note::MemoryUsed(figure()?),
+        "served" => Note::Served(figure()?),
+        "pressure" => Note::MachineMemory(figure()?),
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/feed.rs
@@ -0,0 +1,169 @@
+//! Lines of the journal service, and the list events in them.
+
+use bytes::BytesMut;
+use peppercove::MachineState;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Longest line in bytes: a whole list of some thousand hosts.
+pub const LONGEST: usize = 1 << 20;
+
+/// Why the journal service's bytes could not be read. The connection is of no further use.
+#[derive(Debug, thiserror::Error)]
+pub enum FeedError {
+    /// No line ends within the bound.
+    #[error("a line longer than {LONGEST} bytes")]
+    Endless,
+    /// A whole line that is neither a number nor an event.
+    #[error("a line that is no event: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// One event of the list, numbered.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Entry {
+    /// Its number; in the configuration's list it may be left out of all but the last.
+    #[serde(default)]
+    pub pos: u64,
+    /// What it tells of hosts; absent where it tells of something else.
+    #[serde(default)]
+    pub hosts: Option<Hosts>,
+}
+
+/// What an event tells of hosts.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Hosts {
+    /// The whole list, not what has changed.
+    #[serde(default)]
+    pub full: bool,
+    /// The hosts.
+    #[serde(default)]
+    pub servers: Vec<Host>,
+}
+
+/// What an event tells of one host; what is left out stands as told before.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Host {
+    /// Its id: names the machine, whatever address it has.
+    pub id: String,
+    /// Where it listens.
+    #[serde(default)]
+    pub addr: Option<SocketAddr>,
+    /// Name of its zone.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// Name of its kind.
+    #[serde(default)]
+    pub kind: Option<String>,
+    /// Its rack.
+    #[serde(default)]
+    pub cell: Option<u16>,
+    /// State of its life.
+    #[serde(default)]
+    pub state: Option<State>,
+    /// Unix millisecond of a late start, or 0.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
+    /// Cores and memory that nobody has asked for.
+    #[serde(default)]
+    pub room: Option<[f64; 2]>,
+}
+
+/// State of a host's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Takes tasks.
+    Active,
+    /// Takes nothing new.
+    Leaving,
+    /// Gone.
+    Left,
+}
+
+impl From<State> for MachineState {
+    fn from(state: State) -> MachineState {
+        match state {
+            State::Active => MachineState::Ready,
+            State::Leaving => MachineState::Draining,
+            State::Left => MachineState::Gone,
+        }
+    }
+}
+
+/// One line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    /// The last number there is.
+    Last(u64),
+    /// An event.
+    Event(Entry),
+}
+
+/// Takes one whole line off the front of `buffer`; a line without its end stays.
+///
+/// # Errors
+/// [`FeedError`]: the connection is of no further use.
+pub fn line(buffer: &mut BytesMut) -> Result<Option<Line>, FeedError> {
+    let Some(end) = buffer.iter().position(|b| *b == b'\n') else {
+        return if buffer.len() > LONGEST { Err(FeedError::Endless) } else { Ok(None) };
+    };
+    let line = buffer.split_to(end + 1);
+    let text = line[..end].trim_ascii();
+    if text.iter().all(u8::is_ascii_digit) && !text.is_empty() {
+        return Ok(Some(Line::Last(serde_json::from_slice(text)?)));
+    }
+    Ok(Some(Line::Event(serde_json::from_slice(text)?)))
+}
+
+/// What to do about a line, by its number and the last one held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It is the next event.
+    Take,
+    /// It was told before, or tells that nothing is missing.
+    Skip,
+    /// Something between is missing: it is to be asked for again.
+    AskAgain,
+}
+
+/// Holds a line against the last number held.
+pub fn step(held: u64, line: &Line) -> Step {
+    match line {
+        Line::Event(entry) if entry.pos <= held => Step::Skip,
+        Line::Event(entry) if entry.pos == held + 1 => Step::Take,
+        Line::Last(last) if *last <= held => Step::Skip,
+        Line::Event(_) | Line::Last(_) => Step::AskAgain,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whole_lines_alone_are_read_and_a_torn_one_stays() {
+        let text = "41\n{\"pos\":42,\"hosts\":{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"a\",\
+            \"addr\":\"10.1.0.9:5070\",\"zone\":\"east\",\"kind\":\"std\",\"cell\":2,\"state\":\"leaving\",\
+            \"weight\":4,\"started_ms\":0,\"room\":[1.5,-2]}]}}\n{\"pos\":4";
+        let mut buffer = BytesMut::from(text);
+        assert_eq!(line(&mut buffer).expect("a number"), Some(Line::Last(41)));
+        let Ok(Some(Line::Event(entry))) = line(&mut buffer) else { panic!("an event") };
+        let host = &entry.hosts.as_ref().expect("hosts").servers[0];
+        assert_eq!((host.state, host.room, entry.pos), (Some(State::Leaving), Some([1.5, -2.0]), 42));
+        assert!(matches!(line(&mut buffer), Ok(None)));
+        assert_eq!(buffer[..], b"{\"pos\":4"[..]);
+        buffer.extend_from_slice(b"\n");
+        assert!(matches!(line(&mut buffer), Err(FeedError::Malformed(_))), "torn and then ended");
+    }
+
+    #[test]
+    fn repeated_events_are_skipped_and_gaps_asked_for() {
+        let event = |pos| Line::Event(Entry { pos, hosts: None });
+        assert_eq!(
+            [step(4, &event(4)), step(4, &event(5)), step(4, &event(6))],
+            [Step::Skip, Step::Take, Step::AskAgain]
+        );
+        assert_eq!([step(4, &Line::Last(4)), step(4, &Line::Last(5))], [Step::Skip, Step::AskAgain]);
+    }
+}
--- /dev/null
+++ b/crates/serve/src/feed.rs
@@ -0,0 +1,119 @@
+//! The journal service: every event in order, and word to the module where it cannot be had.
+
+use crate::shell::Shell;
+use bytes::BytesMut;
+use peppercove_platform::Input;
+use peppercove_platform::feed::{FeedError, Line, Step, line, step};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A number comes every second; without one for this long the service is silent.
+const SILENT: Duration = Duration::from_millis(2200);
+
+/// Why following came to its end.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    #[error("no connection: {0}")]
+    Connect(io::Error),
+    #[error("no connection in time")]
+    NotUp,
+    #[error("broken off: {0}")]
+    Broken(io::Error),
+    #[error("closed")]
+    Closed,
+    #[error("silent")]
+    Silent,
+    #[error(transparent)]
+    Unreadable(#[from] FeedError),
+    #[error("events are missing")]
+    Gap,
+    #[error("the module asks anew")]
+    Asked,
+    #[error("the service has moved")]
+    Moved,
+}
+
+/// Follows the journal service for good.
+pub(crate) async fn keep(shell: Rc<Shell>) {
+    let mut wait = !shell.pushed;
+    loop {
+        if wait {
+            tokio::select! {
+                () = shell.watch.notified() => {}
+                () = shell.moved.notified() => {}
+            }
+        }
+        let held = shell.pos.get();
+        let end = follow(&shell).await;
+        // Asking again at once helps where the address is another one, or where the last call brought something.
+        let again = match end {
+            End::Moved | End::Asked => true,
+            End::Gap => shell.pos.get() > held,
+            _ => false,
+        };
+        wait = !again;
+        tracing::debug!(%end, pos = shell.pos.get(), "journal service");
+        if !again {
+            shell.input(Input::ListFailed);
+        }
+    }
+}
+
+async fn follow(shell: &Shell) -> End {
+    let connect = TcpStream::connect(shell.journal.get());
+    let mut stream = tokio::select! {
+        stream = timeout(shell.dial_timeout, connect) => match stream {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return End::Connect(error),
+            Err(_) => return End::NotUp,
+        },
+        () = shell.moved.notified() => return End::Moved,
+    };
+    let call = format!("tail {}\n", shell.pos.get());
+    if let Err(error) = stream.write_all(call.as_bytes()).await {
+        return End::Broken(error);
+    }
+    let mut buffer = BytesMut::new();
+    let mut answered = false;
+    loop {
+        tokio::select! {
+            read = timeout(SILENT, stream.read_buf(&mut buffer)) => match read {
+                Ok(Ok(0)) => return End::Closed,
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return End::Broken(error),
+                Err(_) => return End::Silent,
+            },
+            () = shell.moved.notified() => return End::Moved,
+            () = shell.watch.notified() => return End::Asked,
+        }
+        let mut entries = Vec::new();
+        let mut numbered = false;
+        let end = loop {
+            match line(&mut buffer) {
+                Ok(Some(line)) => match (step(shell.pos.get(), &line), line) {
+                    (Step::Take, Line::Event(entry)) => {
+                        shell.pos.set(entry.pos);
+                        entries.push(entry);
+                    }
+                    (Step::AskAgain, _) => break Some(End::Gap),
+                    (Step::Skip | Step::Take, line) => numbered |= matches!(line, Line::Last(_)),
+                },
+                Ok(None) => break None,
+                Err(error) => break Some(error.into()),
+            }
+        };
+        // The first number of a call says that nothing is missing: the call is answered.
+        let first = numbered && !answered;
+        answered |= first || !entries.is_empty();
+        if first || !entries.is_empty() {
+            shell.input(Input::List(entries));
+        }
+        if let Some(end) = end {
+            return end;
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/hosts.rs
@@ -0,0 +1,57 @@
+//! One connection to a host.
+
+use crate::shell::{Connection, Shell};
+use bytes::BytesMut;
+use peppercove_platform::wire::{Message, decode};
+use peppercove_platform::{Down, Input, LinkId};
+use peppercove_runtime::{Closed, carry};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Connects and carries messages both ways until the connection ends.
+pub(crate) async fn keep(shell: Rc<Shell>, link: LinkId, address: SocketAddr, connection: Rc<Connection>) {
+    let how = match timeout(shell.dial_timeout, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            shell.input(Input::LinkUp(link));
+            let end = carry(&stream, &connection.outbox, |buffer| {
+                read(&shell, &connection, buffer, |message| shell.input(Input::Host(link, message)))
+            });
+            let end = end.await;
+            if !matches!(end, Closed::Here | Closed::Peer) {
+                tracing::debug!(link = link.0, %address, ?end, "connection to a host ended");
+            }
+            Down::Broke { written: connection.outbox.written() }
+        }
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Down::Refused,
+        Ok(Err(_)) | Err(_) => Down::NotUp,
+    };
+    shell.drop_link(link);
+    shell.input(Input::LinkDown(link, how));
+}
+
+/// Takes whole messages off the buffer; false where they cannot be read.
+pub(crate) fn read(
+    shell: &Shell, connection: &Connection, buffer: &mut BytesMut, mut take: impl FnMut(Message),
+) -> bool {
+    let mut whole = false;
+    let readable = loop {
+        match decode(buffer) {
+            Ok(Some(message)) => {
+                whole = true;
+                tracing::trace!(?message, "read");
+                take(message);
+            }
+            Ok(None) => break true,
+            Err(error) => {
+                tracing::debug!(%error, "unreadable");
+                break false;
+            }
+        }
+    };
+    connection.read(shell.clock.now(), whole, !buffer.is_empty());
+    readable
+}
--- /dev/null
+++ b/crates/serve/src/shell.rs
@@ -0,0 +1,237 @@
+//! The desk, and what is around it: where inputs come in and outputs go out.
+
+use crate::{hosts, owners};
+use peppercove::{Micros, Scheduler};
+use peppercove_platform::config::{Config, Limits};
+use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
+use peppercove_runtime::{Clock, Outbox, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Bytes that may wait for one reader.
+pub(crate) const UNREAD: usize = 256 << 10;
+/// A message whose first bytes came and whose rest does not within this time never comes.
+const HALF_A_MESSAGE: Micros = 1_000_000;
+/// A connection that has said nothing since it came up is of no use after this.
+const SILENT: Micros = 2_000_000;
+/// How often connections are looked over.
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// A connection as the sweep sees it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) outbox: Outbox,
+    pub(crate) since: Micros,
+    /// Something whole was read from it at this time.
+    pub(crate) heard_at: Cell<Option<Micros>>,
+    /// Part of a message has waited for its rest since then.
+    pub(crate) half_since: Cell<Option<Micros>>,
+}
+
+impl Connection {
+    fn new(since: Micros) -> Rc<Connection> {
+        let (heard_at, half_since) = (Cell::new(None), Cell::new(None));
+        Rc::new(Connection { outbox: Outbox::new(UNREAD), since, heard_at, half_since })
+    }
+
+    /// Notes what a read brought: whether whole messages came, and whether a part of one is left.
+    pub(crate) fn read(&self, now: Micros, whole: bool, left: bool) {
+        if whole {
+            self.heard_at.set(Some(now));
+        }
+        match (left, self.half_since.get()) {
+            (false, _) => self.half_since.set(None),
+            (true, None) => self.half_since.set(Some(now)),
+            // The part that is left now is another message's.
+            (true, Some(_)) if whole => self.half_since.set(Some(now)),
+            (true, Some(_)) => {}
+        }
+    }
+}
+
+pub(crate) struct Shell {
+    desk: RefCell<Desk<Scheduler>>,
+    pub(crate) clock: Clock,
+    timer: Timer,
+    pub(crate) limits: Limits,
+    pub(crate) dial_timeout: Duration,
+    /// The list comes by itself, without a call of the module.
+    pub(crate) pushed: bool,
+    /// Where the journal service is, and the last of its events that is held.
+    pub(crate) journal: Cell<SocketAddr>,
+    pub(crate) pos: Cell<u64>,
+    /// The module calls for the list.
+    pub(crate) watch: Notify,
+    /// The journal service has another address.
+    pub(crate) moved: Notify,
+    known: RefCell<Vec<peppercove_platform::feed::Entry>>,
+    owners: RefCell<BTreeMap<OwnerId, Rc<Connection>>>,
+    next_owner: Cell<u64>,
+    links: RefCell<BTreeMap<LinkId, Rc<Connection>>>,
+    me: Weak<Shell>,
+}
+
+impl Shell {
+    pub(crate) fn new(config: Config) -> Shell {
+        let bounds = Bounds::of(&config);
+        let dial_timeout = Duration::from_micros(config.dial_timeout());
+        let pushed = !config.settings.list_on_request;
+        let module = Scheduler::new(config.settings.clone(), config.seed);
+        let desk = Desk::new(module, config.settings, config.shape, bounds, config.seed);
+        Shell {
+            desk: RefCell::new(desk),
+            clock: Clock::start(),
+            timer: Timer::default(),
+            limits: config.limits,
+            dial_timeout,
+            pushed,
+            journal: Cell::new(config.journal),
+            pos: Cell::new(config.known.pos),
+            watch: Notify::new(),
+            moved: Notify::new(),
+            known: RefCell::new(config.known.entries),
+            owners: RefCell::default(),
+            next_owner: Cell::new(1),
+            links: RefCell::default(),
+            me: Weak::new(),
+        }
+    }
+
+    /// Hands the desk the list of the start.
+    pub(crate) fn begin(&self) {
+        self.input(Input::Begin(self.known.take()));
+    }
+
+    /// Hands an input to the desk and carries its outputs out.
+    pub(crate) fn input(&self, input: Input) {
+        let outputs = self.desk.borrow_mut().handle(self.clock.now(), input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.timer.changed(self.desk.borrow().next_wake());
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Reply(owner, frame) => {
+                if let Some(connection) = self.owners.borrow().get(&owner) {
+                    connection.outbox.push(&frame);
+                }
+            }
+            Output::Send(link, frame) => {
+                if let Some(connection) = self.links.borrow().get(&link) {
+                    connection.outbox.push(&frame);
+                }
+            }
+            Output::Dial(link, address) => {
+                let Some(shell) = self.me.upgrade() else { return };
+                let connection = Connection::new(self.clock.now());
+                self.links.borrow_mut().insert(link, connection.clone());
+                spawn_local(hosts::keep(shell, link, address, connection));
+            }
+            Output::Hang(link) => {
+                if let Some(connection) = self.links.borrow().get(&link) {
+                    connection.outbox.close();
+                }
+            }
+            Output::Watch => self.watch.notify_one(),
+            Output::Log(line) => tracing::info!(target: "peppercove::module", "{line}"),
+        }
+    }
+
+    pub(crate) fn drop_link(&self, link: LinkId) {
+        self.links.borrow_mut().remove(&link);
+    }
+
+    /// A connection of owners, numbered; `None` where there is no descriptor to spare for it.
+    pub(crate) fn admit(&self) -> Option<(OwnerId, Rc<Connection>)> {
+        if self.owners.borrow().len() >= owners::most(self.limits.sockets) && !self.make_room() {
+            return None;
+        }
+        let id = OwnerId(self.next_owner.get());
+        self.next_owner.set(id.0 + 1);
+        let connection = Connection::new(self.clock.now());
+        self.owners.borrow_mut().insert(id, connection.clone());
+        Some((id, connection))
+    }
+
+    pub(crate) fn drop_owner(&self, owner: OwnerId) {
+        self.owners.borrow_mut().remove(&owner);
+    }
+
+    /// Closes the connection that has been silent longest, those that never brought a task first, and never one on
+    /// which an answer is waited for.
+    fn make_room(&self) -> bool {
+        let desk = self.desk.borrow();
+        let mut owners = self.owners.borrow_mut();
+        let idle = owners.iter().filter(|(id, _)| !desk.is_waited_for(**id));
+        let rank = |id: &OwnerId, c: &Connection| (desk.is_usual(*id), c.heard_at.get().unwrap_or(c.since));
+        let Some(id) = idle.min_by_key(|(id, c)| rank(id, c)).map(|(id, _)| *id) else { return false };
+        if let Some(connection) = owners.remove(&id) {
+            connection.outbox.close();
+        }
+        true
+    }
+
+    pub(crate) fn move_feed(&self, journal: SocketAddr) {
+        self.journal.set(journal);
+        self.moved.notify_one();
+        tracing::info!(%journal, "configuration read anew");
+    }
+
+    pub(crate) fn open(&self) -> usize {
+        self.desk.borrow().open()
+    }
+
+    pub(crate) fn counters(&self) -> Counters {
+        self.desk.borrow().counters()
+    }
+
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.owners.borrow().values().all(|c| c.outbox.is_empty())
+    }
+
+    /// Looks connections over once.
+    fn look_over(&self) {
+        let now = self.clock.now();
+        let late = |since: Option<Micros>, most: Micros| since.is_some_and(|at| at + most <= now);
+        for connection in self.links.borrow().values() {
+            // What a host began and does not end swallows all that follows on that connection.
+            if late(connection.half_since.get(), HALF_A_MESSAGE) {
+                connection.outbox.close();
+            }
+        }
+        for connection in self.owners.borrow().values() {
+            let silent = connection.heard_at.get().is_none() && late(Some(connection.since), SILENT);
+            if silent || late(connection.half_since.get(), HALF_A_MESSAGE) {
+                connection.outbox.close();
+            }
+        }
+    }
+}
+
+impl Shell {
+    /// Gives the shell its own handle, for the tasks that it starts.
+    pub(crate) fn shared(self) -> Rc<Shell> {
+        Rc::new_cyclic(|me| Shell { me: me.clone(), ..self })
+    }
+}
+
+/// Calls the desk when it wants to be called.
+pub(crate) async fn keep_time(shell: Rc<Shell>) {
+    let next = || shell.desk.borrow().next_wake();
+    shell.timer.keep(&shell.clock, next, || shell.input(Input::Tick)).await;
+}
+
+/// Looks connections over again and again.
+pub(crate) async fn sweep(shell: Rc<Shell>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        shell.look_over();
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -41,11 +41,33 @@
     pub records: Vec<(u16, Incoming)>,
 }
 
-/// What an instance's settings say of the records it gets.
+/// What an instance's settings say of the records it gets, and names behind its indices.
 #[derive(Clone, Debug, Default)]
-struct Shape {
-    fields: Vec<String>,
-    view: bool,
+pub struct Shape {
+    /// Names of the values of a load report, in order.
+    pub fields: Vec<String>,
+    /// Lines of the list carry the room that nobody asked for.
+    pub view: bool,
+    /// Names of the classes, by index.
+    pub classes: Vec<String>,
+    /// Names of the machine kinds, by index.
+    pub kinds: Vec<String>,
+    /// Names of the zones, by index.
+    pub zones: Vec<String>,
+    /// A connection that is not up within this time counts as out of reach; 0 where it is not told.
+    pub dial_timeout: Micros,
+}
+
+/// Puts one value of a load report in its place; names that are not known are skipped.
+pub fn report_value(load: &mut Load, field: &str, value: f64) {
+    let value = Some(value).filter(|v| v.is_finite());
+    match field {
+        "x0" => load.free_cores = value,
+        "x1" => load.free_memory = value,
+        "cpu" | "util" => load.busy = value,
+        "waiting" | "queue" => load.waiting = value,
+        _ => {}
+    }
 }
 
 /// Decoder of a whole input: it keeps the numbered lists and the shape of each instance's records.
@@ -102,14 +124,8 @@
         let n = self.u8()?;
         let mut load = Load::default();
         for i in 0..usize::from(n) {
-            let value = Some(self.f32()?).filter(|v| v.is_finite());
-            match shape.fields.get(i).map(String::as_str) {
-                Some("x0") => load.free_cores = value,
-                Some("x1") => load.free_memory = value,
-                Some("cpu") => load.busy = value,
-                Some("waiting") => load.waiting = value,
-                _ => {}
-            }
+            let value = self.f32()?;
+            report_value(&mut load, shape.fields.get(i).map_or("", String::as_str), value);
         }
         Ok((n > 0).then_some(load))
     }
@@ -419,6 +435,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Facts {
+    #[serde(default)]
+    areas: Vec<String>,
+    #[serde(default)]
+    flavors: Vec<String>,
     caps: Caps,
     classes: Vec<ClassFacts>,
     #[serde(default)]
@@ -447,6 +467,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Caps {
+    #[serde(default)]
+    dial_timeout: f64,
     max_attempts: u32,
     may_cancel: bool,
     may_duplicate: bool,
@@ -459,6 +481,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ClassFacts {
+    #[serde(default)]
+    name: String,
     deadline: f64,
     #[serde(default)]
     group: String,
@@ -535,7 +559,11 @@
     values.get(index).copied().ok_or_else(missing)
 }
 
-fn read_settings(text: &[u8]) -> Read<(Settings, Shape)> {
+/// Reads the settings that the first message carries as text.
+///
+/// # Errors
+/// [`WireError`] names the key that is missing or wrong.
+pub fn read_settings(text: &[u8]) -> Result<(Settings, Shape), WireError> {
     let facts: Facts = serde_json::from_slice(text).map_err(|e| WireError(format!("settings: {e}")))?;
     let special = &facts.specifics;
     let mut classes = Vec::new();
@@ -623,5 +651,13 @@
         probe_price: facts.deductions.probe,
         settle: special.make_sure as Micros,
     };
-    Ok((settings, Shape { fields: facts.report.fields, view: special.view }))
+    let shape = Shape {
+        fields: facts.report.fields,
+        view: special.view,
+        classes: facts.classes.iter().map(|c| c.name.clone()).collect(),
+        kinds: facts.flavors,
+        zones: facts.areas,
+        dial_timeout: facts.caps.dial_timeout as Micros,
+    };
+    Ok((settings, shape))
 }
