--- a/src/choice.rs
+++ b/src/choice.rs
@@ -777,8 +777,8 @@
     }
 
     /// An error rests the like of it on its machine. Danger: a task that no machine can use errs wherever it
-    /// is offered, and a few of them would close a whole cluster to their class. What errs on a second machine
-    /// speaks against itself first: neither rests for it unless another error came there before a placing.
+    /// is offered, and a few of them would close a whole cluster to their class. What errs on a second
+    /// machine speaks against itself: neither rests unless another error came there before a placing.
     fn on_error(&mut self, machine: MachineId, task: &Task) {
         let part = Part::of(&task.ask);
         if let Some(m) = self.machines.get_mut(&machine) {
