--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -119,6 +119,7 @@
 /// Goes on serving while owners may still send, then waits for the answers that are open.
 async fn stop(shell: &Shell, longest: Duration) {
     let began = Instant::now();
+    tracing::info!(open = shell.open(), "stopping");
     sleep(STILL_SERVING).await;
     let all_answered = async {
         while shell.open() > 0 || !shell.is_flushed() {
