--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -91,7 +91,7 @@
 }
 
 /// Fewest descriptors with which a controller can serve: its listener, the journal, logs, and a few connections.
-const LEAST_SOCKETS: usize = 32;
+const LEAST_SOCKETS: usize = 64;
 
 impl Config {
     /// Reads a configuration and holds it against the environment, where that names the same things.
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -94,6 +94,12 @@
     pub standing: usize,
     /// Connections to one host that set-ups are spread over.
     pub links: usize,
+    /// Connections to all hosts.
+    pub all_links: usize,
+    /// Connections of owners; the shell keeps to it.
+    pub owners: usize,
+    /// Bytes that may wait for one reader; the shell keeps to it.
+    pub unread: usize,
     /// A silent connection to a host with tasks is tested this often.
     pub test_every: Micros,
     /// Tasks on a host that answers no test and takes no connection count as lost after this.
@@ -110,11 +116,21 @@
     pub fn of(config: &Config) -> Bounds {
         // Some tens of KiB a set-up at the worst: a quarter of the memory may wait for answers.
         let open = (config.limits.memory_mb as usize * 1024 / 4 / 32).clamp(64, 65_536);
+        // Owners keep to a third of the descriptors, and those that mean no good take as many again. Of the last
+        // third, some are the program's own: listener, journal service, log, runtime.
+        let owners = config.limits.sockets * 2 / 3;
+        let all_links = (config.limits.sockets - owners).saturating_sub(16).max(4);
+        // Another quarter of the memory may wait for readers, all of them slow at once.
+        let unread = (config.limits.memory_mb as usize * (1 << 20) / 4 / (owners + all_links))
+            .clamp(16 << 10, 256 << 10);
         Bounds {
             open,
             open_each: (open / 4).clamp(16, 256),
             standing: open * 8,
             links: 1,
+            all_links,
+            owners,
+            unread,
             test_every: config.dial_timeout() * 2,
             lost_after: Bounds::TOLD_WITHIN / 2,
             keep_ends: Bounds::TOLD_WITHIN,
@@ -815,7 +831,7 @@
 
     /// Tasks stand there, so that a connection is kept over which their ends can come.
     fn redial(&mut self, machine: MachineId) {
-        self.hosts.keep_link(machine, &mut self.out);
+        self.hosts.keep_link(machine, self.bounds, &mut self.out);
     }
 
     /// Tests silent connections of a machine on which tasks stand.
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -246,13 +246,23 @@
         let best = usable.iter().copied().min_by_key(|id| (load(id), *id));
         match best {
             Some(id) if load(&id) == 0 || usable.len() >= bounds.links => Some(id),
-            _ => self.dial(machine, out).or(best),
+            _ => self.dial(machine, bounds, out).or(best),
         }
     }
 
-    fn dial(&mut self, machine: MachineId, out: &mut Vec<Output>) -> Option<LinkId> {
+    fn dial(&mut self, machine: MachineId, bounds: Bounds, out: &mut Vec<Output>) -> Option<LinkId> {
+        let address = self.hosts.get(&machine)?.address?;
+        if self.links.len() >= bounds.all_links {
+            // Danger: descriptors run out, and hosts that cannot be dialled look dead. The idle connection that
+            // was silent longest makes room, one without standing tasks first.
+            let idle = |l: &Link| l.up && !l.hung && l.queued.is_empty() && l.out.is_empty();
+            let needed = |l: &Link| self.hosts.get(&l.machine).is_some_and(|h| !h.standing.is_empty());
+            let idle = self.links.iter().filter(|(_, l)| idle(l));
+            let silent = idle.min_by_key(|(_, l)| (needed(l), l.heard_at)).map(|(id, _)| *id)?;
+            self.links.get_mut(&silent)?.hung = true;
+            out.push(Output::Hang(silent));
+        }
         let host = self.hosts.get_mut(&machine)?;
-        let address = host.address?;
         let id = LinkId(self.next_link);
         self.next_link += 1;
         host.links.push(id);
@@ -272,11 +282,11 @@
     }
 
     /// Dials a host with tasks that has no connection left.
-    pub(super) fn keep_link(&mut self, machine: MachineId, out: &mut Vec<Output>) {
+    pub(super) fn keep_link(&mut self, machine: MachineId, bounds: Bounds, out: &mut Vec<Output>) {
         let Some(host) = self.hosts.get(&machine) else { return };
         let none = !host.links.iter().filter_map(|l| self.links.get(l)).any(|l| !l.hung);
         if none && host.line.state != MachineState::Gone && !host.standing.is_empty() {
-            self.dial(machine, out);
+            self.dial(machine, bounds, out);
         }
     }
 
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -42,6 +42,9 @@
         open_each: 5,
         standing: 50,
         links: 1,
+        all_links: 3,
+        owners: 100,
+        unread: 1 << 16,
         test_every: 500 * MS,
         lost_after: 4 * S,
         keep_ends: 8 * S,
@@ -607,6 +610,25 @@
     );
 }
 
+#[test]
+fn connections_to_hosts_are_bounded_and_an_idle_one_makes_room() {
+    let mut bench = Bench::new();
+    let more: Vec<String> =
+        (0..4).map(|i| host(["c", "d", "e", "f"][i], 10 + i as u16, "active", 0)).collect();
+    bench.put(Input::List(vec![event(2, false, &more)]));
+    bench.placed(5);
+    for (request, name, link) in [(2, "b", 2), (3, "c", 3)] {
+        bench.put(Input::Owner(OwnerId(1), set_up(request + 10, "plain")));
+        bench.bind(request, name, None);
+        bench.put(Input::LinkUp(LinkId(link)));
+    }
+    bench.put(Input::Host(LinkId(3), Message::release(13, cause::FULL)));
+    // The third is idle; on the first a task stands, on the second an attempt is out.
+    bench.put(Input::Owner(OwnerId(1), set_up(14, "plain")));
+    let out = bench.bind(4, "d", None);
+    assert!(matches!(out[..], [Output::Hang(LinkId(3)), Output::Dial(LinkId(4), _)]), "{out:?}");
+}
+
 #[test]
 fn batches_come_no_closer_than_the_settings_say() {
     let mut bench = Bench::new();
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -88,8 +88,9 @@
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let shell = Shell::new(config).shared();
     shell.begin();
-    let listener =
-        TcpListener::bind(address).await.map_err(|source| ServeError::Listen { address, source })?;
+    let listen = |source| ServeError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(listen)?;
+    let address = listener.local_addr().map_err(listen)?;
     spawn_local(feed::keep(shell.clone()));
     spawn_local(shell::keep_time(shell.clone()));
     spawn_local(shell::sweep(shell.clone()));
--- a/crates/serve/src/owners.rs
+++ b/crates/serve/src/owners.rs
@@ -12,11 +12,6 @@
 /// Wait after the system had no descriptor for a connection: asking at once again would only spin.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 
-/// Connections of owners for so many descriptors: the rest is for hosts, the journal service and the process itself.
-pub(crate) fn most(descriptors: usize) -> usize {
-    descriptors * 2 / 3
-}
-
 /// Takes connections for good.
 pub(crate) async fn accept(shell: Rc<Shell>, listener: TcpListener) {
     loop {
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -1,8 +1,8 @@
 //! The desk, and what is around it: where inputs come in and outputs go out.
 
-use crate::{hosts, owners};
+use crate::hosts;
 use peppercove::{Micros, Scheduler};
-use peppercove_platform::config::{Config, Limits};
+use peppercove_platform::config::Config;
 use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
 use peppercove_runtime::{Clock, Outbox, Timer};
 use std::cell::{Cell, RefCell};
@@ -13,8 +13,6 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-/// Bytes that may wait for one reader.
-pub(crate) const UNREAD: usize = 256 << 10;
 /// A message whose first bytes came and whose rest does not within this time never comes.
 const HALF_A_MESSAGE: Micros = 1_000_000;
 /// A connection that has said nothing since it came up is of no use after this.
@@ -34,9 +32,9 @@
 }
 
 impl Connection {
-    fn new(since: Micros) -> Rc<Connection> {
+    fn new(since: Micros, unread: usize) -> Rc<Connection> {
         let (heard_at, half_since) = (Cell::new(None), Cell::new(None));
-        Rc::new(Connection { outbox: Outbox::new(UNREAD), since, heard_at, half_since })
+        Rc::new(Connection { outbox: Outbox::new(unread), since, heard_at, half_since })
     }
 
     /// Notes what a read brought: whether whole messages came, and whether a part of one is left.
@@ -58,7 +56,7 @@
     desk: RefCell<Desk<Scheduler>>,
     pub(crate) clock: Clock,
     timer: Timer,
-    pub(crate) limits: Limits,
+    bounds: Bounds,
     pub(crate) dial_timeout: Duration,
     /// The list comes by itself, without a call of the module.
     pub(crate) pushed: bool,
@@ -87,7 +85,7 @@
             desk: RefCell::new(desk),
             clock: Clock::start(),
             timer: Timer::default(),
-            limits: config.limits,
+            bounds,
             dial_timeout,
             pushed,
             journal: Cell::new(config.journal),
@@ -131,7 +129,7 @@
             }
             Output::Dial(link, address) => {
                 let Some(shell) = self.me.upgrade() else { return };
-                let connection = Connection::new(self.clock.now());
+                let connection = Connection::new(self.clock.now(), self.bounds.unread);
                 self.links.borrow_mut().insert(link, connection.clone());
                 spawn_local(hosts::keep(shell, link, address, connection));
             }
@@ -151,12 +149,12 @@
 
     /// A connection of owners, numbered; `None` where there is no descriptor to spare for it.
     pub(crate) fn admit(&self) -> Option<(OwnerId, Rc<Connection>)> {
-        if self.owners.borrow().len() >= owners::most(self.limits.sockets) && !self.make_room() {
+        if self.owners.borrow().len() >= self.bounds.owners && !self.make_room() {
             return None;
         }
         let id = OwnerId(self.next_owner.get());
         self.next_owner.set(id.0 + 1);
-        let connection = Connection::new(self.clock.now());
+        let connection = Connection::new(self.clock.now(), self.bounds.unread);
         self.owners.borrow_mut().insert(id, connection.clone());
         Some((id, connection))
     }
