Connections that die silently are closed; a held task past its key's window is answered

Checked: n0's connection to one host brought nothing from 13.0 s on, its test of 13.73 s was never answered, and it was kept to 17.73 s, while n1 spoke with the same host throughout. Ruled out: a hanging host, slow starts (those connections pass their tests). At fault: desk/hosts.rs watch, which waited four seconds for a test and looked at hosts with standing tasks alone. A test is now due after one dial time-out of silence, and unanswered for two it ends the connection; hosts with attempts are watched too.

Seen while reading the module for tasks that are parked: choice.rs place_held kept a keyed task whose window had passed until its deadline, though nothing could take it. It is answered at once.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -100,8 +100,10 @@
     pub owners: usize,
     /// Bytes that may wait for one reader; the shell keeps to it.
     pub unread: usize,
-    /// A silent connection to a host with tasks is tested this often.
+    /// A connection to a host with tasks or attempts is tested once it was silent for this long.
     pub test_every: Micros,
+    /// A connection whose test is not answered within this time no longer works.
+    pub test_within: Micros,
     /// Tasks on a host that answers no test and takes no connection count as lost after this.
     pub lost_after: Micros,
     /// An end that could be told to nobody is kept so long.
@@ -131,7 +133,9 @@
             all_links,
             owners,
             unread,
-            test_every: config.dial_timeout() * 2,
+            // The settings' own word on how long the network may take to bring something up.
+            test_every: config.dial_timeout(),
+            test_within: config.dial_timeout() * 2,
             lost_after: Bounds::TOLD_WITHIN / 2,
             keep_ends: Bounds::TOLD_WITHIN,
         }
@@ -637,6 +641,7 @@
         (new.link, new.stage) = (link, Stage::Queued);
         self.alarms.set(expires, Alarm::Try(request, attempt));
         self.hosts.queue(link, request, attempt);
+        self.look_after(machine);
         if self.hosts.is_up(link) {
             self.send_queued(link);
         }
@@ -770,9 +775,15 @@
     }
 
     fn stands_at(&mut self, machine: MachineId, request: RequestId, task: TaskKey) {
-        if self.hosts.stands(machine, request, task, self.now) {
+        self.hosts.stands(machine, request, task);
+        self.look_after(machine);
+        self.redial(machine);
+    }
+
+    /// Connections of this machine are watched from now on, while anything of ours is there.
+    fn look_after(&mut self, machine: MachineId) {
+        if self.hosts.look_after(machine, self.now) {
             self.alarms.set(self.now + self.bounds.test_every, Alarm::Watch(machine));
-            self.redial(machine);
         }
     }
 
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -179,17 +179,17 @@
         self.hosts.get(&machine).is_some_and(|h| h.standing.values().any(|t| *t == task))
     }
 
-    /// A task stands there from now on; true where nobody watched the host before.
-    pub(super) fn stands(
-        &mut self, machine: MachineId, request: RequestId, task: TaskKey, now: Micros,
-    ) -> bool {
-        let Some(host) = self.hosts.get_mut(&machine) else { return false };
+    /// A task stands there from now on.
+    pub(super) fn stands(&mut self, machine: MachineId, request: RequestId, task: TaskKey) {
+        let Some(host) = self.hosts.get_mut(&machine) else { return };
         if host.standing.insert(request, task).is_none() {
             self.standing += 1;
         }
-        if host.watched {
-            return false;
-        }
+    }
+
+    /// Something of ours is there; true where nobody watched the host before.
+    pub(super) fn look_after(&mut self, machine: MachineId, now: Micros) -> bool {
+        let Some(host) = self.hosts.get_mut(&machine).filter(|h| !h.watched) else { return false };
         (host.watched, host.heard_at) = (true, now);
         true
     }
@@ -213,7 +213,9 @@
         for id in &host.links {
             let Some(link) = self.links.get_mut(id).filter(|l| l.up && !l.hung) else { continue };
             match link.tested_at {
-                Some(at) if at + bounds.lost_after <= now => {
+                // Danger: a connection can die without a word while its host is well. All that is out on it would
+                // wait out its patience, and more be sent after it.
+                Some(at) if at + bounds.test_within <= now => {
                     link.hung = true;
                     watched.hang.push(*id);
                 }
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -46,6 +46,7 @@
         owners: 100,
         unread: 1 << 16,
         test_every: 500 * MS,
+        test_within: S,
         lost_after: 4 * S,
         keep_ends: 8 * S,
     }
@@ -449,6 +450,36 @@
     assert_eq!(bench.ends(), []);
 }
 
+#[test]
+fn a_connection_that_died_silently_is_closed_and_what_was_out_on_it_told_lost() {
+    let mut bench = Bench::new();
+    bench.put(Input::Owner(OwnerId(1), set_up(5, "keyed")));
+    bench.bind(1, "a", None);
+    bench.put(Input::LinkUp(LinkId(1)));
+    // Silent: a test goes out, and none is answered. The attempt has time left until its own end.
+    let out = bench.pass(1100 * MS);
+    assert!(sends(&out).iter().any(|(link, m)| (*link, m.kind) == (1, Kind::Test)), "{out:?}");
+    let out = bench.pass(1100 * MS);
+    assert!(out.contains(&Output::Hang(LinkId(1))), "{out:?}");
+    bench.put(Input::LinkDown(LinkId(1), Down::Broke { written: 999 }));
+    assert_eq!(bench.ends(), [(1, 0, Outcome::Lost, false)]);
+    // One that is merely slow to start its task answers its test and is kept.
+    let mut bench = Bench::new();
+    bench.put(Input::Owner(OwnerId(1), set_up(5, "keyed")));
+    bench.bind(1, "a", None);
+    bench.put(Input::LinkUp(LinkId(1)));
+    for _ in 0..6 {
+        for (link, message) in sends(&bench.pass(500 * MS)) {
+            assert_eq!(message.kind, Kind::Test);
+            bench.put(Input::Host(
+                LinkId(link),
+                Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]),
+            ));
+        }
+    }
+    assert_eq!(bench.ends(), []);
+}
+
 #[test]
 fn a_new_host_at_an_old_address_is_another_machine_with_connections_of_its_own() {
     let mut bench = Bench::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -270,7 +270,10 @@
         let margin = self.margin();
         for request in waiting {
             match self.tasks.get(&request) {
-                Some(task) if task.deadline <= self.now + margin => self.answer_no(request),
+                // Held past the window of its key, it can be placed no more: its owner is told at once.
+                Some(task) if task.deadline <= self.now + margin || !self.may_send_again(task) => {
+                    self.answer_no(request);
+                }
                 _ => self.held.push(request),
             }
         }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -340,6 +340,32 @@
     assert!(after.iter().all(|b| b.1 != tried[0]), "{after:?}");
 }
 
+#[test]
+fn a_held_task_whose_window_has_passed_is_answered_before_its_deadline() {
+    // Class 1 carries a key for four seconds; its owner would wait for ten.
+    let mut scheduler = with_machines(Settings::sample(), 1);
+    let keyed = Request { deadline_in: 10 * SECOND, ..ask(1, 1, 1) };
+    let machine = binds(&scheduler.handle(SECOND, &[Event::Place(keyed)]))[0].1;
+    let lost = ended(1, 0, machine, Outcome::Lost, Why::Unknown);
+    assert!(binds(&scheduler.handle(SECOND + 1, &[lost])).is_empty(), "its only machine rests");
+    let drains = MachineLine { state: MachineState::Draining, ..line(machine, 1) };
+    let mut actions = scheduler.handle(SECOND + 2, &[list(ListScope::Delta, 2, vec![drains])]);
+    let mut now = SECOND + 2;
+    for _ in 0..1_000 {
+        if actions.contains(&Action::Fail(RequestId(1))) {
+            break;
+        }
+        let timer = actions.iter().find_map(|a| match a {
+            Action::SetTimer { at, .. } => Some(*at),
+            _ => None,
+        });
+        now = timer.map_or(now + 100_000, |at| at.max(now + 1));
+        actions = scheduler.handle(now, &[Event::Timer(0)]);
+    }
+    assert!(actions.contains(&Action::Fail(RequestId(1))), "it is answered");
+    assert!(now < 6 * SECOND, "held on for {now} although nothing could take it");
+}
+
 #[test]
 fn a_machine_whose_line_stays_full_is_tried_ever_more_seldom() {
     // Found in incident id7f4b9: half of all offers went to three machines that refused them within a millisecond.
