The audit counts nothing as out that was sent to an earlier life of a node

Ruled out: the controller's count, which had ended it. At fault: audit rules.rs hear_word, which at another life moved attempts that ran and left those that were out. They stand as unknown now: they may have run.

--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -301,3 +301,24 @@
     day.says(4 * MS, "a", FromNode::Ended { attempt: id(1, 0), end, load: None });
     assert_eq!(day.offer(5 * MS, "a", id(3, 0), work(3, 1)).broken(), CLEAN);
 }
+
+/// Found by the hunt: a node started anew twice within the time of an attempt that had not run on its earlier life.
+#[test]
+fn what_was_sent_to_an_earlier_life_of_a_node_is_not_out_any_more() {
+    let welcome = |life| {
+        let node = Party { name: "a".into(), life };
+        let version = peppercove_protocol::VERSION;
+        FromNode::Welcome { version, node, standing: 0, whole: true }
+    };
+    let mut day = Day::new();
+    day.says(0, "a", welcome(1)).offer(MS, "a", id(1, 0), work(1, 1));
+    day.offer(2 * MS, "b", id(2, 0), work(2, 1)).runs(3 * MS, "b", id(2, 0));
+    assert_eq!(Day(day.0.clone()).offer(4 * MS, "a", id(3, 0), work(3, 1)).broken(), [5]);
+    day.says(4 * MS, "a", welcome(2));
+    assert_eq!(Day(day.0.clone()).offer(5 * MS, "a", id(3, 0), work(3, 1)).broken(), CLEAN);
+    // It may have run there all the same: an unsafe one is not offered again for it.
+    let mut day = Day::new();
+    day.says(0, "a", welcome(1)).offer(MS, "a", id(1, 0), work(1, 2));
+    day.says(4 * MS, "a", welcome(2)).offer(5 * MS, "b", id(1, 1), work(1, 2));
+    assert_eq!(day.broken(), [2]);
+}
