Hosts named by set-ups alone are bounded, and dialled once the list names them

Seen while reading the desk for what grows: an 'at' set-up may name any host, with a name of up to 16 KiB, and the entry made for it was never forgotten; one that the list named only later was never dialled, so that its tasks' ends could not come. At fault: desk/hosts.rs named, desk.rs watch and on_list. Names are 64 bytes at the most, an entry that no list names goes with its last task, and a host that the list tells of is dialled where tasks stand there. Figures of the configuration are multiplied without overflow.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -117,13 +117,13 @@
     /// Bounds for a configuration.
     pub fn of(config: &Config) -> Bounds {
         // Some tens of KiB a set-up at the worst: a quarter of the memory may wait for answers.
-        let open = (config.limits.memory_mb as usize * 1024 / 4 / 32).clamp(64, 65_536);
+        let open = ((config.limits.memory_mb as usize).saturating_mul(1024) / 4 / 32).clamp(64, 65_536);
         // Owners keep to a third of the descriptors, and those that mean no good take as many again. Of the last
         // third, some are the program's own: listener, journal service, log, runtime.
-        let owners = config.limits.sockets * 2 / 3;
+        let owners = config.limits.sockets / 3 * 2;
         let all_links = (config.limits.sockets - owners).saturating_sub(16).max(4);
         // Another quarter of the memory may wait for readers, all of them slow at once.
-        let unread = (config.limits.memory_mb as usize * (1 << 20) / 4 / (owners + all_links))
+        let unread = ((config.limits.memory_mb as usize).saturating_mul(1 << 20) / 4 / (owners + all_links))
             .clamp(16 << 10, 256 << 10);
         Bounds {
             open,
@@ -330,6 +330,11 @@
         self.hosts.standing()
     }
 
+    /// Hosts that something is kept of.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// An owner's connection has a set-up without an answer.
     pub fn is_waited_for(&self, owner: OwnerId) -> bool {
         self.owners.get(&owner).is_some_and(|o| !o.open.is_empty())
@@ -435,7 +440,12 @@
             let Some(hosts) = entry.hosts else { continue };
             let scope = if hosts.full { ListScope::Full } else { ListScope::Delta };
             let news = self.hosts.learn(&hosts, &self.shape);
+            let named: Vec<MachineId> = news.lines.iter().map(|l| l.machine).collect();
             self.events.push(Event::MachineList { scope, version, lines: news.lines });
+            for machine in named {
+                // Tasks may have been handed over there before the list told its address.
+                self.redial(machine);
+            }
             for (machine, started_at) in news.restarted {
                 // A process that starts anew holds nothing of its earlier life.
                 self.lose(machine, started_at);
@@ -847,7 +857,10 @@
 
     /// Tests silent connections of a machine on which tasks stand.
     fn watch(&mut self, machine: MachineId) {
-        let Some(watched) = self.hosts.watch(machine, self.now, self.bounds) else { return };
+        let Some(watched) = self.hosts.watch(machine, self.now, self.bounds) else {
+            // Danger: a set-up may name any host; one that no list has named is forgotten with its last task.
+            return self.hosts.forget(machine);
+        };
         self.alarms.set(self.now + self.bounds.test_every, Alarm::Watch(machine));
         for link in watched.test {
             self.send(link, &Message::new(Kind::Test, link.0).with(code::CAUSE, &[0]));
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -165,6 +165,10 @@
         }
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
     // ---- Standing tasks ----
 
     pub(super) fn standing(&self) -> usize {
--- a/crates/platform/src/desk/read.rs
+++ b/crates/platform/src/desk/read.rs
@@ -13,9 +13,13 @@
     Task,
     Key,
     Wait,
+    Host,
     Figures,
 }
 
+/// Longest id of a host, in bytes.
+const LONGEST_HOST: usize = 64;
+
 /// The figures of a set-up.
 #[derive(Default)]
 struct Figures<'a> {
@@ -78,6 +82,10 @@
     let cores = within(figures.cores, most(|k| k.cores, settings.accepts_cores)).ok_or(Unusable::Figures)?;
     let memory =
         within(figures.memory, most(|k| k.memory, settings.accepts_memory)).ok_or(Unusable::Figures)?;
+    // Names of hosts are kept while tasks stand there.
+    if figures.at.is_some_and(|host| host.is_empty() || host.len() > LONGEST_HOST) {
+        return Err(Unusable::Host);
+    }
     let service = figures.service.filter(|s| !s.is_empty()).ok_or(Unusable::Figures)?;
     let wait = match (message.text(code::WAIT).map(str::parse::<u64>), figures.at) {
         (Some(Ok(ms)), _) => ms.saturating_mul(1000),
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -594,6 +594,24 @@
     assert_eq!(bench.ends(), [(1, 0, Outcome::Lost, true)]);
 }
 
+#[test]
+fn a_host_that_no_list_names_is_dialled_once_it_does_and_else_forgotten() {
+    let mut bench = Bench::new();
+    let on = |id, host: &str| with_figures(id, &format!("cores:1;memory:2;service:aa;at:{host}"));
+    assert!(bench.put(Input::Owner(OwnerId(1), on(5, "new"))).is_empty(), "its address is not known");
+    let out = bench.put(Input::List(vec![event(2, false, &[host("new", 9, "active", 0)])]));
+    assert!(matches!(out[..], [Output::Dial(LinkId(1), a)] if a.port() == 9), "{out:?}");
+    bench.put(Input::LinkUp(LinkId(1)));
+    bench.put(Input::Host(LinkId(1), Message::release(5, cause::ORDINARY)));
+    assert_eq!(bench.ends(), [(1, 0, Outcome::Done, true)]);
+    // One that is never listed ends with the time that a silent host is given, and nothing of it stays.
+    bench.put(Input::Owner(OwnerId(1), on(6, "made-up")));
+    assert_eq!(replies(&bench.pass(5 * S)), [(1, Message::release(6, cause::CUT))]);
+    assert_eq!((bench.desk.standing(), bench.desk.hosts(), bench.desk.next_wake()), (0, 3, None));
+    bench.put(Input::Owner(OwnerId(1), on(7, &"x".repeat(65))));
+    assert_eq!((bench.desk.standing(), bench.desk.hosts()), (0, 3), "no id is that long");
+}
+
 #[test]
 fn an_owner_ends_its_task_over_any_connection_and_its_host_is_told() {
     let mut bench = Bench::new();
