A configuration that cannot be read is told once, not twice

Seen: the system's word stood twice in the one line that serve prints. At fault: cli main.rs, which printed the chain of an error whose text holds its cause.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -248,7 +248,10 @@
     let environment =
         peppercove_serve::Environment { name: variable("LB_NAME"), listen: variable("LB_LISTEN") };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, peppercove_serve::run(Path::new(&path), &environment))?;
+    // Its message tells the cause already; one line is all that is wanted of it.
+    LocalSet::new()
+        .block_on(&runtime, peppercove_serve::run(Path::new(&path), &environment))
+        .map_err(|error| anyhow::anyhow!("{error}"))?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -521,4 +521,11 @@
         assert_eq!(done.status.code(), Some(1), "{said}");
         assert!(said.lines().count() == 1 && said.contains(named), "{named}: {said}");
     }
+    let done = Command::new(env!("CARGO_BIN_EXE_peppercove"))
+        .arg("serve")
+        .env("LB_CONFIG", folder.path().join("missing.json"))
+        .output()
+        .expect("run");
+    let said = String::from_utf8_lossy(&done.stderr);
+    assert_eq!((done.status.code(), said.matches("os error").count()), (Some(1), 1), "said once: {said}");
 }
