Ends of tasks are told again where their connection closed behind them

Change: a connection with something left to write is not evicted, others are closed once all is written; ends told within the last second of a connection's life are told again elsewhere; an acknowledged giving up no longer hides later words.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -223,6 +223,8 @@
     open: BTreeSet<RequestId>,
     /// It has brought a set-up that could be used.
     usual: bool,
+    /// Ends told on it lately, and when.
+    told: VecDeque<(Micros, Bytes)>,
 }
 
 #[derive(Debug)]
@@ -582,6 +584,13 @@
         for request in gone.open {
             self.abandon(request);
         }
+        // Danger: an end that crosses the close of its connection is told to nobody, and its owner holds the task for
+        // running. Hosts say theirs twice for the same reason.
+        for (at, frame) in gone.told {
+            if at.saturating_add(self.bounds.test_within) > self.now {
+                self.tell(owner, frame);
+            }
+        }
     }
 
     /// The owner waits no more: no answer is owed.
@@ -738,19 +747,27 @@
     fn tell_end(&mut self, request: RequestId, cause: u8) {
         let Some(ask) = self.asks.get(&request) else { return };
         self.counters.ended += 1;
-        let frame = Message::release(ask.wire, cause).encode();
-        let own = self.owners.contains_key(&ask.owner).then_some(ask.owner);
-        // Where its connection is closed, any other will do: none owns a standing task.
+        let (owner, frame) = (ask.owner, Message::release(ask.wire, cause).encode());
+        self.tell(owner, frame);
+    }
+
+    /// Tells an end to its owner. Where its connection is closed, any other will do: none owns a standing task.
+    fn tell(&mut self, owner: OwnerId, frame: Bytes) {
+        let own = self.owners.contains_key(&owner).then_some(owner);
         let other = || self.owners.iter().rev().find(|(_, o)| o.usual).map(|(id, _)| *id);
-        match own.or_else(other) {
-            Some(owner) => self.out.push(Output::Reply(owner, frame)),
-            None => {
-                self.untold.push_back((self.now.saturating_add(self.bounds.keep_ends), frame));
-                while self.untold.len() > self.bounds.open {
-                    self.untold.pop_front();
-                }
+        let Some(to) = own.or_else(other) else {
+            self.untold.push_back((self.now.saturating_add(self.bounds.keep_ends), frame));
+            while self.untold.len() > self.bounds.open {
+                self.untold.pop_front();
             }
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&to) {
+            let late = self.now.saturating_sub(self.bounds.test_within);
+            owner.told.retain(|(at, _)| *at > late);
+            owner.told.push_back((self.now, frame.clone()));
         }
+        self.out.push(Output::Reply(to, frame));
     }
 
     /// Ends that nobody could be told are told to the first owner that comes.
@@ -886,6 +903,9 @@
 
     fn on_host(&mut self, link: LinkId, message: &Message) {
         let Some(machine) = self.hosts.heard(link, self.now) else { return };
+        if message.kind == Kind::Heard {
+            self.on_heard(link, message.id);
+        }
         if !matches!(message.kind, Kind::Answer | Kind::Release | Kind::Note) {
             return;
         }
@@ -904,6 +924,15 @@
         }
     }
 
+    /// A host has heard that an attempt is given up: what it says of the id on that connection from now on is not of
+    /// that attempt.
+    fn on_heard(&mut self, link: LinkId, wire: u64) {
+        let Some(ask) = self.wires.get(&wire).and_then(|r| self.asks.get_mut(r)) else { return };
+        for t in ask.tries.iter_mut().filter(|t| t.link == link && t.stage == Stage::GivenUp) {
+            t.stage = Stage::Told;
+        }
+    }
+
     /// The attempt that a word on a connection is about. An attempt is known by its id and its connection: a word on
     /// the connection of an earlier one that ended without its host's word may be that one's, and is not the present
     /// one's.
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -409,6 +409,42 @@
     assert_eq!(replies(&out), [(2, end)]);
 }
 
+#[test]
+fn an_end_told_just_before_its_connection_closed_is_told_again_elsewhere() {
+    let mut bench = Bench::new();
+    bench.placed(5);
+    bench.put(Input::Owner(OwnerId(2), set_up(6, "plain")));
+    let end = Message::release(5, cause::ORDINARY);
+    assert_eq!(replies(&bench.put(Input::Host(LinkId(1), end.clone()))), [(1, end.clone())]);
+    // It crossed the close, or was thrown away with what the connection had not written yet.
+    assert_eq!(replies(&bench.put(Input::OwnerGone(OwnerId(1)))), [(2, end)]);
+    // One told long before has arrived.
+    bench.pass(5 * S);
+    assert!(replies(&bench.put(Input::OwnerGone(OwnerId(2)))).is_empty());
+}
+
+#[test]
+fn an_end_over_the_connection_of_a_given_up_attempt_counts_once_its_host_has_heard() {
+    for heard in [false, true] {
+        let mut bench = Bench::new();
+        bench.put(Input::Owner(OwnerId(1), set_up(5, "plain")));
+        bench.bind(1, "a", Some(300 * MS));
+        bench.put(Input::LinkUp(LinkId(1)));
+        bench.pass(400 * MS);
+        bench.bind(1, "a", None);
+        bench.put(Input::LinkUp(LinkId(2)));
+        if heard {
+            bench.put(Input::Host(LinkId(1), Message::new(Kind::Heard, 5)));
+        }
+        let answer = Message::new(Kind::Answer, 5).with(code::DESCRIPTION, b"x");
+        bench.put(Input::Host(LinkId(2), answer));
+        bench.put(Input::LinkDown(LinkId(2), Down::Broke { written: 999 }));
+        // Hosts tell an end over any open connection where that of the set-up is closed.
+        let out = replies(&bench.put(Input::Host(LinkId(1), Message::release(5, cause::ORDINARY))));
+        assert_eq!(out.len(), usize::from(heard), "heard {heard}: {out:?}");
+    }
+}
+
 #[test]
 fn tasks_end_with_their_process() {
     // Refused: no process is there.
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -164,15 +164,15 @@
     }
 
     /// Closes the connection that has been silent longest, those that never brought a task first, and never one on
-    /// which an answer is waited for.
+    /// which an answer is waited for, or that has something left to write.
     fn make_room(&self) -> bool {
         let desk = self.desk.borrow();
         let mut owners = self.owners.borrow_mut();
-        let idle = owners.iter().filter(|(id, _)| !desk.is_waited_for(**id));
+        let idle = owners.iter().filter(|(id, c)| c.outbox.is_empty() && !desk.is_waited_for(**id));
         let rank = |id: &OwnerId, c: &Connection| (desk.is_usual(*id), c.heard_at.get().unwrap_or(c.since));
         let Some(id) = idle.min_by_key(|(id, c)| rank(id, c)).map(|(id, _)| *id) else { return false };
         if let Some(connection) = owners.remove(&id) {
-            connection.outbox.close();
+            connection.outbox.finish();
         }
         true
     }
