--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -221,15 +221,15 @@
 }
 
 /// A journal service, one host named `a`, and a controller.
-fn cluster() -> (Place, Place, Controller) {
+fn cluster(sockets: usize) -> (Place, Place, Controller) {
     let (journal, host) = (Place::new(), Place::new());
-    let controller = Controller::start(journal.address(), &[server("a", host.address(), "active")], 256);
+    let controller = Controller::start(journal.address(), &[server("a", host.address(), "active")], sockets);
     (journal, host, controller)
 }
 
 #[test]
 fn a_task_goes_the_whole_path_and_its_end_comes_back() {
-    let (_journal, host, controller) = cluster();
+    let (_journal, host, controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&Message::new(Kind::Test, 77).with(code::CAUSE, &[0]));
     assert_eq!(owner.hear(), Message::new(Kind::Tested, 77).with(code::CAUSE, &[1]));
@@ -246,7 +246,7 @@
 
 #[test]
 fn a_new_host_at_an_old_address_gets_a_connection_of_its_own() {
-    let (journal, host, controller) = cluster();
+    let (journal, host, controller) = cluster(256);
     let (mut feed, call) = journal.tail();
     assert_eq!(call, "tail 1");
     let mut owner = Peer::connect(controller.address);
@@ -268,7 +268,7 @@
 
 #[test]
 fn a_torn_and_repeated_feed_is_asked_again_from_the_last_whole_event() {
-    let (journal, host, controller) = cluster();
+    let (journal, host, controller) = cluster(256);
     let other = Place::new();
     let (mut feed, _) = journal.tail();
     let second = event(2, false, &[server("a", host.address(), "leaving")]);
@@ -296,7 +296,7 @@
 
 #[test]
 fn a_silent_feed_is_called_anew() {
-    let (journal, _host, _controller) = cluster();
+    let (journal, _host, _controller) = cluster(256);
     let (feed, _) = journal.tail();
     let (_again, call) = journal.tail();
     assert_eq!(call, "tail 1");
@@ -325,7 +325,7 @@
 
 #[test]
 fn a_stop_answers_what_is_open_and_what_still_comes() {
-    let (_journal, host, mut controller) = cluster();
+    let (_journal, host, mut controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&set_up(5, "one"));
     let mut at_host = host.peer();
@@ -348,7 +348,7 @@
 
 #[test]
 fn a_stop_with_nothing_open_still_serves_what_is_on_its_way() {
-    let (_journal, host, mut controller) = cluster();
+    let (_journal, host, mut controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&Message::new(Kind::Test, 1).with(code::CAUSE, &[0]));
     owner.hear();
@@ -366,7 +366,7 @@
 
 #[test]
 fn spoilt_bytes_of_a_host_cost_their_connection_and_no_other() {
-    let (_journal, host, controller) = cluster();
+    let (_journal, host, controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&set_up(5, "any"));
     let mut at_host = host.peer();
@@ -387,7 +387,7 @@
 
 #[test]
 fn half_a_message_of_a_host_does_not_swallow_what_follows_for_good() {
-    let (_journal, host, controller) = cluster();
+    let (_journal, host, controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&set_up(5, "any"));
     let mut at_host = host.peer();
@@ -399,7 +399,7 @@
 
 #[test]
 fn tasks_of_a_host_whose_process_died_are_over() {
-    let (_journal, host, controller) = cluster();
+    let (_journal, host, controller) = cluster(256);
     let mut owner = Peer::connect(controller.address);
     owner.send(&set_up(5, "one"));
     let mut at_host = host.peer();
@@ -423,7 +423,7 @@
 
 #[test]
 fn unreadable_owners_are_closed_and_unusable_set_ups_refused() {
-    let (_journal, host, controller) = cluster();
+    let (_journal, host, controller) = cluster(256);
     let unreadable: [&[u8]; 5] = [
         &[0xff; 64],
         &[0, 0, 0, 0],
@@ -454,9 +454,7 @@
 
 #[test]
 fn silent_connections_keep_no_usual_owner_out() {
-    let (journal, host) = (Place::new(), Place::new());
-    let hosts = [server("a", host.address(), "active")];
-    let controller = Controller::start(journal.address(), &hosts, 64);
+    let (_journal, host, controller) = cluster(64);
     // One usual owner with an open set-up, and more silent ones than there are descriptors.
     let mut first = Peer::connect(controller.address);
     first.send(&set_up(5, "one"));
@@ -475,9 +473,7 @@
 
 #[test]
 fn where_descriptors_run_short_nobody_loses_a_connection_with_an_open_set_up() {
-    let (journal, host) = (Place::new(), Place::new());
-    let hosts = [server("a", host.address(), "active")];
-    let controller = Controller::start(journal.address(), &hosts, 64);
+    let (_journal, host, controller) = cluster(64);
     let mut first = Peer::connect(controller.address);
     first.send(&set_up(1000, "one"));
     let mut at_host = host.peer();
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -174,11 +174,16 @@
         self.told().into_iter().filter_map(ended).collect()
     }
 
+    /// Set-up `id` of owner 1, the first request of the desk, is out at `a` over link 1.
+    fn offered(&mut self, id: u64, class: &str, timeout: Option<Micros>) {
+        self.put(Input::Owner(OwnerId(1), set_up(id, class)));
+        self.bind(1, "a", timeout);
+        self.put(Input::LinkUp(LinkId(1)));
+    }
+
     /// A task placed on `a` over link 1, by set-up `id` of owner 1, the first request of the desk.
     fn placed(&mut self, id: u64) {
-        self.put(Input::Owner(OwnerId(1), set_up(id, "plain")));
-        self.bind(1, "a", None);
-        self.put(Input::LinkUp(LinkId(1)));
+        self.offered(id, "plain", None);
         let answer = Message::new(Kind::Answer, id).with(code::DESCRIPTION, b"here");
         self.put(Input::Host(LinkId(1), answer));
         self.pass(2 * MS);
@@ -230,9 +235,7 @@
 #[test]
 fn outcomes_loads_and_reasons_of_hosts_reach_the_module() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "once")));
-    bench.bind(1, "a", None);
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "once", None);
     let full = Message::release(5, cause::FULL)
         .with(code::NOTE, b"no_memory")
         .with(code::REPORT, b"x0:1.5;x1:-2;cpu:0.25;waiting:3;other:9");
@@ -257,9 +260,7 @@
 #[test]
 fn an_end_that_brings_the_description_is_the_answer_and_the_end() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "keyed")));
-    bench.bind(1, "a", None);
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "keyed", None);
     let end = Message::release(5, cause::ORDINARY).with(code::DESCRIPTION, b"ran");
     let out = replies(&bench.put(Input::Host(LinkId(1), end)));
     let answer = Message::new(Kind::Answer, 5).with(code::DESCRIPTION, b"ran");
@@ -277,9 +278,7 @@
 #[test]
 fn a_late_word_of_an_earlier_attempt_at_the_same_host_is_not_the_present_ones() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "plain")));
-    bench.bind(1, "a", Some(300 * MS));
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "plain", Some(300 * MS));
     let out = sends(&bench.pass(400 * MS));
     assert_eq!(out, [(1, Message::release(5, cause::ORDINARY))], "given up at its time-out");
     assert_eq!(bench.ends(), [(1, 0, Outcome::TimedOut, false)]);
@@ -301,9 +300,7 @@
 fn a_broken_connection_tells_what_left_from_what_never_did() {
     for (written, outcome) in [(0, Outcome::Unreachable), (1, Outcome::Lost)] {
         let mut bench = Bench::new();
-        bench.put(Input::Owner(OwnerId(1), set_up(5, "once")));
-        bench.bind(1, "a", None);
-        bench.put(Input::LinkUp(LinkId(1)));
+        bench.offered(5, "once", None);
         bench.put(Input::LinkDown(LinkId(1), Down::Broke { written }));
         assert_eq!(bench.ends(), [(1, 0, outcome, false)], "{written} bytes written");
     }
@@ -329,9 +326,7 @@
 #[test]
 fn a_time_out_ends_at_the_owners_deadline_at_the_latest() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "plain")));
-    bench.bind(1, "a", Some(3600 * S));
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "plain", Some(3600 * S));
     bench.pass(WAIT - 100 * MS);
     assert_eq!(bench.ends(), []);
     bench.pass(100 * MS);
@@ -367,9 +362,7 @@
 #[test]
 fn an_owner_that_leaves_is_owed_nothing_and_its_attempt_is_given_up() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "plain")));
-    bench.bind(1, "a", None);
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "plain", None);
     bench.pass(2 * MS);
     bench.told();
     let out = bench.put(Input::OwnerGone(OwnerId(1)));
@@ -427,9 +420,7 @@
 fn an_end_over_the_connection_of_a_given_up_attempt_counts_once_its_host_has_heard() {
     for heard in [false, true] {
         let mut bench = Bench::new();
-        bench.put(Input::Owner(OwnerId(1), set_up(5, "plain")));
-        bench.bind(1, "a", Some(300 * MS));
-        bench.put(Input::LinkUp(LinkId(1)));
+        bench.offered(5, "plain", Some(300 * MS));
         bench.pass(400 * MS);
         bench.bind(1, "a", None);
         bench.put(Input::LinkUp(LinkId(2)));
@@ -489,9 +480,7 @@
 #[test]
 fn a_connection_that_died_silently_is_closed_and_what_was_out_on_it_told_lost() {
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "keyed")));
-    bench.bind(1, "a", None);
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "keyed", None);
     // Silent: a test goes out, and none is answered. The attempt has time left until its own end.
     let out = bench.pass(1100 * MS);
     assert!(sends(&out).iter().any(|(link, m)| (*link, m.kind) == (1, Kind::Test)), "{out:?}");
@@ -501,9 +490,7 @@
     assert_eq!(bench.ends(), [(1, 0, Outcome::Lost, false)]);
     // One that is merely slow to start its task answers its test and is kept.
     let mut bench = Bench::new();
-    bench.put(Input::Owner(OwnerId(1), set_up(5, "keyed")));
-    bench.bind(1, "a", None);
-    bench.put(Input::LinkUp(LinkId(1)));
+    bench.offered(5, "keyed", None);
     for _ in 0..6 {
         for (link, message) in sends(&bench.pass(500 * MS)) {
             assert_eq!(message.kind, Kind::Test);
