A task handed over again under a new id is known by that id, and its end is told

At fault: Desk::on_set_up, `let twice = held.is_some() || self.hosts.holds(machine, request.task)`, which passed it over as held already.

The desk now renames the task: ends go out under the new id, the former one is still understood, and one that is being cut is cut, and its end told, under the new id too. The test in the desk fails without it: the end reaches nobody.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -219,6 +219,8 @@
 #[derive(Debug)]
 struct Ask {
     wire: u64,
+    /// The id before its owner handed it over under another one.
+    former: Option<u64>,
     task: TaskKey,
     owner: OwnerId,
     deadline: Micros,
@@ -528,9 +530,14 @@
         let held = self.wires.get(&message.id).and_then(|r| self.asks.get(r));
         if let Some(host) = at {
             let machine = self.hosts.named(&host);
-            let twice = held.is_some() || self.hosts.holds(machine, request.task);
-            if !twice && self.hosts.standing() < self.bounds.standing {
-                self.stand(from, message.id, request, machine);
+            if held.is_none() {
+                match self.hosts.holding(machine, request.task) {
+                    Some(known) => self.rename(known, from, message.id),
+                    None if self.hosts.standing() < self.bounds.standing => {
+                        self.stand(from, message.id, request, machine);
+                    }
+                    None => {}
+                }
             }
             return;
         }
@@ -563,6 +570,7 @@
         self.wires.insert(message.id, request.request);
         let ask = Ask {
             wire: message.id,
+            former: None,
             task: request.task,
             owner: from,
             deadline,
@@ -587,6 +595,7 @@
         let first = Try { machine, link, stage: Stage::Settled, expires: self.now };
         let ask = Ask {
             wire,
+            former: None,
             task,
             owner: from,
             deadline: self.now,
@@ -603,6 +612,24 @@
         self.stands_at(machine, id, task);
     }
 
+    /// A task that is held already is handed over under another id: its owner did not learn where it stands, or was told
+    /// that it is over, and has found it there. Danger: its host speaks of it by the new id from now on; unknown, the end
+    /// would be told to nobody. Words of the host that cross this still carry the former one.
+    fn rename(&mut self, request: RequestId, from: OwnerId, wire: u64) {
+        self.owners.entry(from).or_default().usual = true;
+        let Some(ask) = self.asks.get_mut(&request) else { return };
+        if let Some(former) = ask.former.replace(ask.wire) {
+            self.wires.remove(&former);
+        }
+        (ask.wire, ask.owner) = (wire, from);
+        self.wires.insert(wire, request);
+        if ask.cut.is_some() {
+            // It goes on being cut, which its owner has to learn under this id as well.
+            self.tell_end(request, cause::CUT);
+            self.bring_cut(request);
+        }
+    }
+
     fn on_owner_release(&mut self, from: OwnerId, message: &Message) {
         let Some(&request) = self.wires.get(&message.id) else { return };
         let Some(ask) = self.asks.get(&request) else { return };
@@ -786,6 +813,9 @@
         }
         let Some(machine) = ask.tries.get(usize::from(attempt)).map(|t| t.machine) else { return };
         self.wires.remove(&ask.wire);
+        if let Some(former) = ask.former {
+            self.wires.remove(&former);
+        }
         self.hosts.stands_no_more(machine, request);
         self.over.push(request);
         self.ended(request, attempt, machine, outcome, why, true, load);
@@ -831,9 +861,16 @@
     /// away before it has read that would be given away twice; so the module is told of the end only then.
     fn cut(&mut self, request: RequestId, outcome: Outcome, cause: u8) {
         let Some(ask) = self.asks.get_mut(&request).filter(|a| a.cut.is_none()) else { return };
+        let Life::Placed(_) = ask.life else { return };
+        (ask.cut, ask.doubtful) = (Some(Cut { outcome, cause }), None);
+        self.bring_cut(request);
+    }
+
+    /// Sends a cut over the connection of the attempt that placed the task, over another one, or over the next.
+    fn bring_cut(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request) else { return };
         let Life::Placed(attempt) = ask.life else { return };
         let Some(t) = ask.tries.get(usize::from(attempt)) else { return };
-        (ask.cut, ask.doubtful) = (Some(Cut { outcome, cause }), None);
         let (machine, link) = (t.machine, t.link);
         let link = Some(link).filter(|l| self.hosts.is_up(*l)).or_else(|| self.hosts.any_up(machine));
         match link {
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -191,8 +191,9 @@
         self.hosts.get(&machine).map(|h| h.standing.keys().copied().collect()).unwrap_or_default()
     }
 
-    pub(super) fn holds(&self, machine: MachineId, task: TaskKey) -> bool {
-        self.hosts.get(&machine).is_some_and(|h| h.standing.values().any(|t| *t == task))
+    /// The standing task of this name there.
+    pub(super) fn holding(&self, machine: MachineId, task: TaskKey) -> Option<RequestId> {
+        self.hosts.get(&machine)?.standing.iter().find(|(_, t)| **t == task).map(|(request, _)| *request)
     }
 
     /// A task stands there from now on.
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -595,6 +595,36 @@
     assert_eq!(bench.ends(), [(1, 0, Outcome::Lost, true)]);
 }
 
+/// Danger: an owner that never learned where its task stands finds it at its host and hands it over under a new id, by
+/// which the host speaks of it from then on. Passed over as held already, that id was unknown when the end came, and the
+/// end was told to nobody.
+#[test]
+fn a_task_that_is_handed_over_under_another_id_ends_under_that_one() {
+    let handed_over = || {
+        let figures = "cores:1;memory:2;service:aa;at:a";
+        let message = Message::new(Kind::SetUp, 6).with(code::CLASS, b"plain").with(code::WAIT, b"4000");
+        message.with(code::TASK, format!("{:016x}", 5).as_bytes()).with(code::FIGURES, figures.as_bytes())
+    };
+    let (end, under) = (|id| Message::release(id, cause::ORDINARY), |id| Message::release(id, cause::CUT));
+    // A word that crosses the handing over carries the former id.
+    for said in [6, 5] {
+        let mut bench = Bench::new();
+        bench.placed(5);
+        assert!(bench.put(Input::Owner(OwnerId(2), handed_over())).is_empty());
+        assert_eq!(replies(&bench.put(Input::Host(LinkId(1), end(said)))), [(2, end(6))]);
+        assert_eq!((bench.ends(), bench.desk.standing()), (vec![(1, 0, Outcome::Done, true)], 0));
+    }
+    // Its owner was told, or said, that it is over, and its host has not read that yet.
+    let mut bench = Bench::new();
+    bench.placed(5);
+    bench.put(Input::Owner(OwnerId(1), end(5)));
+    let out = bench.put(Input::Owner(OwnerId(2), handed_over()));
+    assert_eq!((replies(&out), cuts(&out)), (vec![(2, under(6))], vec![(1, end(6))]));
+    let Some((1, test)) = sends(&out).pop() else { panic!("{out:?}") };
+    bench.put(Input::Host(LinkId(1), Message::new(Kind::Tested, test.id)));
+    assert_eq!((bench.ends(), bench.desk.standing()), (vec![(1, 0, Outcome::Withdrawn, true)], 0));
+}
+
 #[test]
 fn a_host_that_no_list_names_is_dialled_once_it_does_and_else_forgotten() {
     let mut bench = Bench::new();
