Connections to hosts may use the descriptors that owners leave free

Hosts now have what owners leave, at least the former third; where owners need more, idle connections to hosts close first. A host with tasks that found no descriptor is asked for again at each watch; nothing did so before.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -60,6 +60,8 @@
     Owner(OwnerId, Message),
     /// An owner's connection is closed.
     OwnerGone(OwnerId),
+    /// So many connections of owners are open.
+    Owners(usize),
     /// A connection to a host is up.
     LinkUp(LinkId),
     /// A message of a host.
@@ -98,7 +100,9 @@
     pub standing: usize,
     /// Connections to one host that set-ups are spread over.
     pub links: usize,
-    /// Connections to all hosts.
+    /// Connections of both kinds.
+    pub connections: usize,
+    /// Connections to all hosts, as many as owners leave.
     pub all_links: usize,
     /// Connections of owners; the shell keeps to it.
     pub owners: usize,
@@ -122,23 +126,30 @@
     /// It lets 1 s pass before an end is told that a host has told.
     const PASSED_ON_WITHIN: Micros = 1_000_000;
 
+    /// Connections to hosts beside `open` ones of owners. The third that owners are granted is kept for them: an owner
+    /// that comes has no time to wait until a host's connection is closed.
+    fn links(connections: usize, owners: usize, open: usize) -> usize {
+        connections.saturating_sub(open.max(owners / 2)).max(1)
+    }
+
     /// Bounds for a configuration.
     pub fn of(config: &Config) -> Bounds {
         // Some tens of KiB a set-up at the worst: a quarter of the memory may wait for answers.
         let open = ((config.limits.memory_mb as usize).saturating_mul(1024) / 4 / 32).clamp(64, 65_536);
-        // Owners keep to a third of the descriptors, and those that mean no good take as many again. Of the last
-        // third, some are the program's own: listener, journal service, log, runtime.
+        // Owners keep to a third of the descriptors, and those that mean no good take as many again. Some are the
+        // program's own: listener, journal service, log, runtime. Connections to hosts have what is left.
         let owners = config.limits.sockets / 3 * 2;
-        let all_links = (config.limits.sockets - owners).saturating_sub(16).max(4);
+        let connections = config.limits.sockets.saturating_sub(16);
         // Another quarter of the memory may wait for readers, all of them slow at once.
-        let unread = ((config.limits.memory_mb as usize).saturating_mul(1 << 20) / 4 / (owners + all_links))
+        let unread = ((config.limits.memory_mb as usize).saturating_mul(1 << 20) / 4 / connections)
             .clamp(16 << 10, 256 << 10);
         Bounds {
             open,
             open_each: (open / 4).clamp(16, 256),
             standing: open * 8,
             links: 1,
-            all_links,
+            connections,
+            all_links: Bounds::links(connections, owners, 0),
             owners,
             unread,
             // The settings' own word on how long the network may take to bring something up. Tested after one of these,
@@ -330,6 +341,11 @@
             }
             Input::Owner(owner, message) => self.on_owner(owner, message),
             Input::OwnerGone(owner) => self.on_owner_gone(owner),
+            Input::Owners(open) => {
+                let Bounds { connections, owners, .. } = self.bounds;
+                self.bounds.all_links = Bounds::links(connections, owners, open);
+                self.hosts.keep_to(self.bounds.all_links, &mut self.out);
+            }
             Input::LinkUp(link) => self.on_link_up(link),
             Input::Host(link, message) => self.on_host(link, &message),
             Input::LinkDown(link, how) => self.on_link_down(link, how),
@@ -1030,6 +1046,8 @@
             self.test(link);
         }
         self.out.extend(watched.hang.into_iter().map(Output::Hang));
+        // Danger: no descriptor was free when its connection was to be dialled anew, and nothing else would ask again.
+        self.redial(machine);
         if watched.lost {
             self.lose_sight(machine);
         }
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -267,17 +267,32 @@
         }
     }
 
+    /// Closes connections down to this many, as far as idle ones go.
+    pub(super) fn keep_to(&mut self, most: usize, out: &mut Vec<Output>) {
+        let closing = self.links.values().filter(|l| l.hung).count();
+        for _ in most..self.links.len() - closing {
+            if self.spare(out).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Closes a connection to make room. Danger: descriptors run out, and hosts that cannot be dialled look dead. The
+    /// idle connection that was silent longest goes, one without standing tasks first.
+    fn spare(&mut self, out: &mut Vec<Output>) -> Option<()> {
+        let idle = |l: &Link| l.up && !l.hung && l.queued.is_empty() && l.out.is_empty();
+        let needed = |l: &Link| self.hosts.get(&l.machine).is_some_and(|h| !h.standing.is_empty());
+        let idle = self.links.iter().filter(|(_, l)| idle(l));
+        let silent = idle.min_by_key(|(_, l)| (needed(l), l.heard_at)).map(|(id, _)| *id)?;
+        self.links.get_mut(&silent)?.hung = true;
+        out.push(Output::Hang(silent));
+        Some(())
+    }
+
     fn dial(&mut self, machine: MachineId, bounds: Bounds, out: &mut Vec<Output>) -> Option<LinkId> {
         let address = self.hosts.get(&machine)?.address?;
         if self.links.len() >= bounds.all_links {
-            // Danger: descriptors run out, and hosts that cannot be dialled look dead. The idle connection that
-            // was silent longest makes room, one without standing tasks first.
-            let idle = |l: &Link| l.up && !l.hung && l.queued.is_empty() && l.out.is_empty();
-            let needed = |l: &Link| self.hosts.get(&l.machine).is_some_and(|h| !h.standing.is_empty());
-            let idle = self.links.iter().filter(|(_, l)| idle(l));
-            let silent = idle.min_by_key(|(_, l)| (needed(l), l.heard_at)).map(|(id, _)| *id)?;
-            self.links.get_mut(&silent)?.hung = true;
-            out.push(Output::Hang(silent));
+            self.spare(out)?;
         }
         let host = self.hosts.get_mut(&machine)?;
         let id = LinkId(self.next_link);
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -19,6 +19,7 @@
         open_each: 5,
         standing: 50,
         links: 1,
+        connections: 53,
         all_links: 3,
         owners: 100,
         unread: 1 << 16,
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -846,6 +846,28 @@
     assert!(matches!(out[..], [Output::Hang(LinkId(3)), Output::Dial(LinkId(4), _)]), "{out:?}");
 }
 
+/// Hosts with tasks are more than a third of the descriptors where owners need few of theirs. With no more for them, each
+/// host that was dialled closed the connection to another one with tasks, which was dialled anew: 15,274 on a calm day.
+#[test]
+fn connections_to_hosts_have_what_owners_leave() {
+    let mut bench = Bench::new();
+    bench.put(Input::Owners(51));
+    bench.placed(5);
+    let place = |bench: &mut Bench, request: u64| {
+        bench.put(Input::Owner(OwnerId(1), set_up(request + 10, "plain")));
+        bench.bind(request, "b", None)
+    };
+    let out = place(&mut bench, 2);
+    assert!(matches!(out[..], [Output::Dial(LinkId(2), _)]), "two are left: {out:?}");
+    // More owners than their half: idle connections go, down to what is left, and come back when they leave.
+    assert!(bench.put(Input::Owners(52)).contains(&Output::Hang(LinkId(1))));
+    bench.put(Input::LinkDown(LinkId(1), Down::Broke { written: 999, whole: false }));
+    assert_eq!(bench.put(Input::Owners(53)), [], "the other one is needed for an attempt");
+    assert_eq!(bench.pass(S), [], "no descriptor for it");
+    bench.put(Input::Owners(10));
+    assert!(matches!(bench.pass(2 * S)[..], [Output::Dial(LinkId(3), _), ..]));
+}
+
 #[test]
 fn batches_come_no_closer_than_the_settings_say() {
     let mut bench = Bench::new();
--- a/crates/serve/src/owners.rs
+++ b/crates/serve/src/owners.rs
@@ -26,6 +26,10 @@
         let _ = stream.set_nodelay(true);
         // Without room for it, it is closed at once: its owner can come again.
         let Some((owner, connection)) = shell.admit() else { continue };
+        if shell.is_crowded() {
+            // Danger: the system would take connections faster than those to hosts that make room for them are closed.
+            tokio::task::yield_now().await;
+        }
         let shell = shell.clone();
         spawn_local(async move {
             carry(&stream, &connection.outbox, |buffer| {
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -70,6 +70,8 @@
     known: RefCell<Vec<peppercove_platform::feed::Entry>>,
     owners: RefCell<BTreeMap<OwnerId, Rc<Connection>>>,
     next_owner: Cell<u64>,
+    /// As the desk was told last.
+    crowded: Cell<bool>,
     links: RefCell<BTreeMap<LinkId, Rc<Connection>>>,
     me: Weak<Shell>,
 }
@@ -95,6 +97,7 @@
             known: RefCell::new(config.known.entries),
             owners: RefCell::default(),
             next_owner: Cell::new(1),
+            crowded: Cell::new(false),
             links: RefCell::default(),
             me: Weak::new(),
         }
@@ -156,11 +159,26 @@
         self.next_owner.set(id.0 + 1);
         let connection = Connection::new(self.clock.now(), self.bounds.unread);
         self.owners.borrow_mut().insert(id, connection.clone());
+        self.count_owners();
         Some((id, connection))
     }
 
     pub(crate) fn drop_owner(&self, owner: OwnerId) {
         self.owners.borrow_mut().remove(&owner);
+        self.count_owners();
+    }
+
+    /// Owners have taken descriptors that connections to hosts use while they are free.
+    pub(crate) fn is_crowded(&self) -> bool {
+        self.owners.borrow().len() > self.bounds.owners / 2
+    }
+
+    fn count_owners(&self) {
+        let crowded = self.is_crowded();
+        if crowded || self.crowded.get() {
+            self.crowded.set(crowded);
+            self.input(Input::Owners(self.owners.borrow().len()));
+        }
     }
 
     /// Closes the connection that has been silent longest, those that never brought a task first, and never one on
