What goes to hosts is written at once, so that no set-up follows its owner's final answer

An owner's connection that was already due for something else has it first. Ruled out: a bind after an answer (Desk::bind asks for Life::Waiting), queued set-ups of closed tasks (send_queued finds no body), a connection closed with bytes left (they are dropped). At fault: Shell::carry_out, Output::Send, which only queued the frame.

Frames to hosts are now handed to the system as they are decided. Where one that takes a set-up back does not go out, the connection ends with what waits on it.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -81,6 +81,9 @@
     Dial(LinkId, SocketAddr),
     /// Write to a host.
     Send(LinkId, Bytes),
+    /// Write to a host what takes a set-up back. Where that does not go out at once, the connection has to end, with
+    /// what waits on it: nothing may be sent for a task after its answer.
+    TakeBack(LinkId, Bytes),
     /// Close a connection to a host.
     Hang(LinkId),
     /// Call the journal service anew.
@@ -795,7 +798,9 @@
     /// Tells a host to give an attempt up, where its connection is up.
     fn release(&mut self, link: LinkId, wire: u64) {
         if self.hosts.is_up(link) {
-            self.send(link, &Message::release(wire, cause::ORDINARY));
+            let frame = Message::release(wire, cause::ORDINARY).encode();
+            self.hosts.sent(link, frame.len());
+            self.out.push(Output::TakeBack(link, frame));
         }
     }
 
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -138,7 +138,7 @@
 
 fn sends(out: &[Output]) -> Vec<(u64, Message)> {
     let send = |o: &Output| match o {
-        Output::Send(link, frame) => Some((link.0, read(frame))),
+        Output::Send(link, frame) | Output::TakeBack(link, frame) => Some((link.0, read(frame))),
         _ => None,
     };
     out.iter().filter_map(send).collect()
@@ -297,7 +297,7 @@
         timeout: None,
     });
     let out = bench.put(Input::Owner(OwnerId(1), Message::release(5, cause::ORDINARY)));
-    assert!(!out.iter().any(|o| matches!(o, Output::Dial(..) | Output::Send(..))), "{out:?}");
+    assert!(sends(&out).is_empty() && !out.iter().any(|o| matches!(o, Output::Dial(..))), "{out:?}");
     assert_eq!(bench.ends(), [(1, 2, Outcome::NotSent, true)]);
 }
 
@@ -1043,7 +1043,7 @@
                     Output::Dial(link, _) => {
                         dialled.insert(link.0);
                     }
-                    Output::Send(link, frame) => {
+                    Output::Send(link, frame) | Output::TakeBack(link, frame) => {
                         let message = read(&frame);
                         match message.kind {
                             Kind::SetUp => {
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -153,7 +153,7 @@
         for output in outputs {
             match output {
                 Output::Dial(link, _) => self.dialled.push(link.0),
-                Output::Send(link, frame) => {
+                Output::Send(link, frame) | Output::TakeBack(link, frame) => {
                     if let Some(wire) = self.wires.get_mut(&link.0).filter(|w| w.desk_has && w.host_has) {
                         wire.to_host.push_back((self.now, read(&frame)));
                     }
--- a/crates/runtime/src/pipe.rs
+++ b/crates/runtime/src/pipe.rs
@@ -4,6 +4,7 @@
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
+use std::rc::{Rc, Weak};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -19,6 +20,8 @@
     written: Cell<u64>,
     ending: Cell<Option<End>>,
     changed: Notify,
+    /// Where it goes, while that is carried.
+    stream: RefCell<Weak<TcpStream>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +36,8 @@
     /// An empty outbox that holds up to `most` bytes.
     pub fn new(most: usize) -> Outbox {
         let (written, ending) = (Cell::new(0), Cell::new(None));
-        Outbox { bytes: RefCell::default(), most, written, ending, changed: Notify::new() }
+        let (bytes, stream) = (RefCell::default(), RefCell::default());
+        Outbox { bytes, most, written, ending, changed: Notify::new(), stream }
     }
 
     /// Queues a message; false where the peer has left too much unread, and then the connection ends.
@@ -51,6 +55,26 @@
         true
     }
 
+    /// Writes what the system takes now, without waiting for the turn of [`carry`]; false where something is left. Danger:
+    /// between connections the turns decide what goes out first, and many of them can take long.
+    pub fn write(&self) -> bool {
+        if let Some(stream) = self.stream.borrow().upgrade() {
+            // An error is met again, and told, by the one that carries.
+            let _ = self.write_to(&stream);
+        }
+        self.is_empty()
+    }
+
+    /// Many messages, one write; what the system does not take now waits until it can.
+    fn write_to(&self, stream: &TcpStream) -> io::Result<()> {
+        while !self.is_empty() && self.ending.get() != Some(End::Now) {
+            let n = stream.try_write(&self.bytes.borrow())?;
+            self.bytes.borrow_mut().advance(n);
+            self.written.set(self.written.get() + n as u64);
+        }
+        Ok(())
+    }
+
     /// Ends the connection at once.
     pub fn close(&self) {
         self.ending.set(Some(End::Now));
@@ -92,8 +116,9 @@
 /// Carries bytes both ways until the connection ends. `read` takes what it can use off the front of the buffer; false
 /// ends the connection.
 pub async fn carry(
-    stream: &TcpStream, outbox: &Outbox, mut read: impl FnMut(&mut BytesMut) -> bool,
+    stream: &Rc<TcpStream>, outbox: &Outbox, mut read: impl FnMut(&mut BytesMut) -> bool,
 ) -> Closed {
+    *outbox.stream.borrow_mut() = Rc::downgrade(stream);
     let mut buffer = BytesMut::new();
     loop {
         match outbox.ending.get() {
@@ -101,22 +126,11 @@
             Some(End::Flushed) if outbox.is_empty() => return Closed::Here,
             _ => {}
         }
-        // Many messages, one write; what the system does not take now waits until it can.
-        let mut writing = false;
-        while !outbox.is_empty() {
-            let wrote = stream.try_write(&outbox.bytes.borrow());
-            match wrote {
-                Ok(n) => {
-                    outbox.bytes.borrow_mut().advance(n);
-                    outbox.written.set(outbox.written.get() + n as u64);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    writing = true;
-                    break;
-                }
-                Err(e) => return Closed::Failed(e),
-            }
-        }
+        let writing = match outbox.write_to(stream) {
+            Ok(()) => false,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => true,
+            Err(e) => return Closed::Failed(e),
+        };
         let interest = if writing { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
         tokio::select! {
             ready = stream.ready(interest) => match ready {
@@ -127,7 +141,7 @@
                         Ok(_) => {
                             if !read(&mut buffer) {
                                 // What was answered before goes out, if it can.
-                                let _ = stream.try_write(&outbox.bytes.borrow());
+                                let _ = outbox.write_to(stream);
                                 return Closed::Unreadable;
                             }
                             if buffer.is_empty() {
--- a/crates/runtime/tests/pipe.rs
+++ b/crates/runtime/tests/pipe.rs
@@ -1,14 +1,16 @@
 //! Connections of bytes: what an end of theirs does with what waits to be written.
 
 use peppercove_runtime::{Closed, Outbox, carry};
+use std::io::ErrorKind;
+use std::rc::Rc;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
-async fn pair() -> (TcpStream, TcpStream) {
+async fn pair() -> (Rc<TcpStream>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let (here, there) = tokio::join!(TcpStream::connect(address), listener.accept());
-    (here.expect("connected"), there.expect("accepted").0)
+    (Rc::new(here.expect("connected")), there.expect("accepted").0)
 }
 
 #[tokio::test(flavor = "current_thread")]
@@ -32,6 +34,37 @@
     }
 }
 
+/// Danger: what goes to a host must be out before the final answer to its owner, whichever connection has its turn first.
+#[tokio::test(flavor = "current_thread")]
+async fn what_is_written_at_once_is_out_before_any_other_connection_has_its_turn() {
+    let (here, mut there) = pair().await;
+    let outbox = Outbox::new(1 << 24);
+    assert!(outbox.push(b"a set-up"));
+    assert!(!outbox.write(), "carried by nobody yet");
+    let carried = carry(&here, &outbox, |_| true);
+    let acts = async {
+        tokio::task::yield_now().await;
+        assert!(outbox.push(b", and what takes it back"));
+        // No turn of the one that carries from here on.
+        assert!(outbox.write());
+        assert_eq!(outbox.written(), 32);
+        // What a peer does not read is known to be left, and is never sent where the connection ends.
+        let all = vec![b'x'; 1 << 23];
+        assert!(outbox.push(&all) && !outbox.write());
+        outbox.close();
+        assert!(!outbox.write());
+        outbox.written()
+    };
+    let (closed, written) = tokio::join!(carried, acts);
+    assert!(matches!(closed, Closed::Here));
+    drop(here);
+    let mut read = Vec::new();
+    let end = there.read_to_end(&mut read).await;
+    assert!(end.is_ok() || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+    assert!(read.starts_with(b"a set-up, and what takes it back"));
+    assert_eq!(read.len() as u64, written);
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_peer_that_reads_nothing_loses_its_connection_at_the_bound() {
     let (here, _there) = pair().await;
--- a/crates/serve/src/hosts.rs
+++ b/crates/serve/src/hosts.rs
@@ -16,6 +16,7 @@
     let how = match timeout(shell.dial_timeout, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
+            let stream = Rc::new(stream);
             shell.input(Input::LinkUp(link));
             let end = carry(&stream, &connection.outbox, |buffer| {
                 read(&shell, &connection, buffer, |message| shell.input(Input::Host(link, message)))
--- a/crates/serve/src/owners.rs
+++ b/crates/serve/src/owners.rs
@@ -32,6 +32,7 @@
         }
         let shell = shell.clone();
         spawn_local(async move {
+            let stream = Rc::new(stream);
             carry(&stream, &connection.outbox, |buffer| {
                 read(&shell, &connection, buffer, |message| shell.input(Input::Owner(owner, message)))
             })
