--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -175,7 +175,12 @@
         let (found, address) = mpsc::channel();
         let log = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || {
+            let mut panicked = false;
             for line in log.lines().map_while(Result::ok) {
+                panicked |= line.contains("panicked");
+                if panicked {
+                    eprintln!("{line}");
+                }
                 if let Some((_, address)) = line.split_once("serving address=") {
                     let _ = found.send(address.trim().parse().expect("an address"));
                 }
--- a/crates/cli/tests/fleet/host.rs
+++ b/crates/cli/tests/fleet/host.rs
@@ -17,6 +17,9 @@
 /// Hosts of one cell discard a second copy of a keyed task within this; as in the settings.
 const WINDOW: Duration = Duration::from_secs(3);
 
+/// Tasks of each so many-th id do not end by themselves.
+const LASTING: u64 = 6;
+
 /// What all hosts know together: keys of their cell, and which tasks had their effect.
 #[derive(Default)]
 pub struct Seen {
@@ -49,6 +52,10 @@
     next_link: u64,
     /// By controller, id and connection.
     tasks: BTreeMap<(usize, u64, u64), State>,
+    /// Those that stood, by their descriptions.
+    copies: BTreeMap<Vec<u8>, (usize, u64, u64)>,
+    /// Those that have another id by now.
+    names: BTreeMap<(usize, u64, u64), u64>,
     /// Ends that are said once more over the next connection that the controller opens.
     again: BTreeMap<usize, Vec<Message>>,
     work: Vec<AbortHandle>,
@@ -72,6 +79,8 @@
             links: BTreeMap::new(),
             next_link: 0,
             tasks: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            names: BTreeMap::new(),
             again: BTreeMap::new(),
             work: Vec::new(),
         };
@@ -110,8 +119,20 @@
     /// The copy that was answered with this description stands here.
     pub fn holds(&self, description: &[u8]) -> bool {
         let inner = self.inner.borrow();
-        let here = inner.tasks.iter().filter(|(_, s)| **s == State::Standing);
-        here.map(|((_, id, link), _)| inner.description(*id, *link)).any(|d| d == description)
+        inner.copies.get(description).is_some_and(|key| inner.tasks.get(key) == Some(&State::Standing))
+    }
+
+    /// It stands here, and does not end by itself.
+    pub fn keeps(&self, description: &[u8]) -> bool {
+        self.holds(description) && self.inner.borrow().copies[description].1 % LASTING == 0
+    }
+
+    /// Its owner has handed it over under another id, by which it is spoken of from now on.
+    pub fn renames(&self, description: &[u8], id: u64) {
+        let mut inner = self.inner.borrow_mut();
+        if let Some(key) = inner.copies.get(description).copied() {
+            inner.names.insert(key, id);
+        }
     }
 
     async fn serve(self, controller: usize, stream: TcpStream) {
@@ -169,14 +190,14 @@
                 let slow = inner.rng.u8(0..8) == 0;
                 let start = if slow { inner.rng.u64(300..1500) } else { inner.rng.u64(2..80) };
                 // Some go on until they are cut.
-                let ends = inner.rng.u8(0..6) > 0;
-                let life = if ends { inner.rng.u64(50..1500) } else { 3_600_000 };
+                let life = if id % LASTING > 0 { inner.rng.u64(50..1500) } else { 3_600_000 };
                 let times = [start, life].map(Duration::from_millis);
                 drop(inner);
                 self.does(self.clone().runs(controller, id, link, message.clone(), times));
             }
             Kind::Release => {
-                let here = inner.tasks.iter().filter(|((c, i, _), _)| (*c, *i) == (controller, id));
+                let is = |k: &(usize, u64, u64)| k.0 == controller && (k.1 == id || inner.name_of(k) == id);
+                let here = inner.tasks.iter().filter(|(k, _)| is(k));
                 let here: Vec<((usize, u64, u64), State)> = here.map(|(k, s)| (*k, *s)).collect();
                 for (key, state) in here {
                     match state {
@@ -205,6 +226,7 @@
             }
             let description = inner.description(id, link);
             inner.seen.borrow_mut().made.insert(description.clone());
+            inner.copies.insert(description.clone(), key);
             inner.tasks.insert(key, State::Standing);
             inner.say(link, Message::new(Kind::Answer, id).with(code::DESCRIPTION, &description));
         }
@@ -217,6 +239,10 @@
 }
 
 impl Inner {
+    fn name_of(&self, key: &(usize, u64, u64)) -> u64 {
+        self.names.get(key).copied().unwrap_or(key.1)
+    }
+
     fn description(&self, id: u64, link: u64) -> Vec<u8> {
         format!("{}/{link}/{id:016x}", self.name).into_bytes()
     }
@@ -250,8 +276,8 @@
     /// Over the connection of the set-up, else over any that the controller has open, and again over the next.
     fn end(&mut self, key: (usize, u64, u64), cause: u8) {
         self.tasks.insert(key, State::Over);
-        let (controller, id, link) = key;
-        let end = Message::release(id, cause);
+        let (controller, _, link) = key;
+        let end = Message::release(self.name_of(&key), cause);
         let open: Vec<u64> =
             self.links.iter().filter(|(_, l)| l.controller == controller).map(|(l, _)| *l).collect();
         let over = if open.contains(&link) { Some(link) } else { self.rng.choice(open) };
--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -116,6 +116,19 @@
         self.hosts.push(new);
     }
 
+    /// Each controller is handed a task anew that stands there and does not end by itself.
+    fn handed_over_anew(&self, step: usize) {
+        for (c, seat) in self.seats.iter().enumerate() {
+            let id = 1 << 52 | (c as u64) << 8 | step as u64;
+            let keeps = |d: &[u8]| self.hosts.iter().find(|h| h.keeps(d));
+            if let Some(description) = seat.owners.hand_over_anew(id, |d| keeps(d).is_some())
+                && let Some(host) = keeps(&description)
+            {
+                host.renames(&description, id);
+            }
+        }
+    }
+
     /// The faults of one step of the day.
     async fn fault(&mut self, step: usize) {
         match step {
@@ -201,6 +214,7 @@
     }
     for step in 0..14 {
         world.fault(step).await;
+        world.handed_over_anew(step);
         tokio::time::sleep(Duration::from_millis(900)).await;
         // Owners open connections anew; the earlier ones stay for what is told there.
         for seat in world.seats.iter_mut().filter(|s| s.process.is_some()) {
--- a/crates/cli/tests/fleet/owner.rs
+++ b/crates/cli/tests/fleet/owner.rs
@@ -19,8 +19,10 @@
     pub answers: Vec<Message>,
     /// Ends told after an answer.
     pub ends: u32,
-    /// The connections they came over.
-    over: Vec<u64>,
+    /// The connections they came over, and under which id.
+    over: Vec<(u64, u64)>,
+    /// The name of the task, that of the first id.
+    task: u64,
     /// Its owner ended it: it is owed no end.
     pub ended: bool,
     /// Its controller was killed before it answered, or after its owner ended it: nothing is owed.
@@ -113,9 +115,9 @@
         if inner.away {
             return;
         }
-        inner.asks.insert(id, Ask::default());
+        inner.asks.insert(id, Ask { task: id, ..Ask::default() });
         drop(inner);
-        self.send(set_up(id, class, service, ""));
+        self.send(set_up(id, id, class, service, ""));
     }
 
     /// Ends up to `most` of the tasks that stand.
@@ -145,21 +147,38 @@
         let inner = self.inner.borrow();
         let stands = |a: &&Ask| a.placed().is_some() && a.ends == 0 && !a.ended;
         let there = inner.asks.iter().filter(|(_, a)| stands(a));
-        let tasks: Vec<(u64, String)> = there.filter_map(|(id, a)| Some((*id, host_of(a)?))).collect();
+        let tasks: Vec<_> = there.filter_map(|(id, a)| Some((*id, a.task, host_of(a)?))).collect();
         drop(inner);
-        for (id, host) in tasks {
-            self.send(set_up(id, "any", 1, &format!(";at:{host}")));
+        for (id, task, host) in tasks {
+            self.send(set_up(id, task, "any", 1, &format!(";at:{host}")));
         }
         self.inner.borrow_mut().away = false;
     }
 
+    /// An owner that has not seen an answer finds a task at its host, and hands it over under another id: the first one
+    /// that `found` says stands there for long. Returns the answer and the id.
+    pub fn hand_over_anew(&self, id: u64, found: impl Fn(&[u8]) -> bool) -> Option<Vec<u8>> {
+        let mut inner = self.inner.borrow_mut();
+        let stands = |a: &Ask| a.ends == 0 && !a.ended && a.task != id && a.placed().is_some_and(&found);
+        let former = inner.asks.iter().find(|(id, a)| **id == a.task && stands(a)).map(|(id, _)| *id);
+        let former = former.filter(|_| !inner.away)?;
+        let ask = inner.asks.remove(&former)?;
+        let (description, host, task) = (ask.placed()?.to_vec(), host_of(&ask)?, ask.task);
+        inner.asks.insert(id, ask);
+        drop(inner);
+        self.send(set_up(id, task, "any", 1, &format!(";at:{host}")));
+        Some(description)
+    }
+
     fn hears(&self, connection: u64, message: Message) {
         let mut inner = self.inner.borrow_mut();
-        let id = message.id;
         if message.kind == Kind::Tested {
             inner.tested = true;
             return;
         }
+        // An end may cross the handing over under another id.
+        let renamed = |(id, a): (&u64, &Ask)| (a.task == message.id).then_some(*id);
+        let id = inner.asks.iter().find_map(renamed).unwrap_or(message.id);
         let wrong = match inner.asks.get_mut(&id) {
             None => Some("of an id that nobody used"),
             Some(ask) if ask.answers.is_empty() => {
@@ -170,8 +189,9 @@
                 // Told again where the connection that it was told over closes right behind it. One may cross the word of
                 // an owner who ends the task.
                 ask.ends += 1;
-                let twice = ask.over.contains(&connection);
-                ask.over.push(connection);
+                let over = (connection, message.id);
+                let twice = ask.over.contains(&over);
+                ask.over.push(over);
                 twice.then_some("an end twice over one connection")
             }
             Some(_) => Some("a second answer"),
@@ -197,12 +217,12 @@
     std::str::from_utf8(ask.placed()?).ok()?.split('/').next().map(str::to_owned)
 }
 
-fn set_up(id: u64, class: &str, service: u64, at: &str) -> Message {
+fn set_up(id: u64, task: u64, class: &str, service: u64, at: &str) -> Message {
     Message::new(Kind::SetUp, id)
         .with(code::CLASS, class.as_bytes())
         .with(code::WAIT, b"2000")
-        .with(code::TASK, format!("{id:016x}").as_bytes())
-        .with(code::KEY, format!("{id:032x}").as_bytes())
+        .with(code::TASK, format!("{task:016x}").as_bytes())
+        .with(code::KEY, format!("{task:032x}").as_bytes())
         .with(code::FIGURES, format!("cores:1;memory:2;service:{service:016x}{at}").as_bytes())
         .with(code::DESCRIPTION, b"opaque \0\xff")
 }
