Attempts time out only once all that came before was read; a late loop saw the clock first

Ruled out: a second attempt in flight (one is given up where the next is bound), an end dropped of what was answered (the task that was answered ended at 13.4 s and was told). At fault: Desk::handle, which let all alarms off by the clock after any input.

Alarms are now let off on a tick alone, up to the time that the tick was set for, for which the runtime has read what came before. The test in the desk fails without it.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -329,7 +329,7 @@
 /// Calls the core when it wants to be called.
 pub(crate) async fn keep_time(shell: Rc<Shell>) {
     let next = || shell.core.borrow().next_wake();
-    let tick = || {
+    let tick = |_| {
         shell.input(Input::Tick);
     };
     shell.timer.keep(&shell.clock, next, tick).await;
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -68,8 +68,9 @@
     Host(LinkId, Message),
     /// A connection to a host is closed, or never came up.
     LinkDown(LinkId, Down),
-    /// Time has passed.
-    Tick,
+    /// All that came before this time was handed over. Danger: only then may anything be concluded from silence. A loop
+    /// that is late sees the clock before it sees what has arrived.
+    Tick(Micros),
 }
 
 /// Something to do.
@@ -352,10 +353,11 @@
             Input::LinkUp(link) => self.on_link_up(link),
             Input::Host(link, message) => self.on_host(link, &message),
             Input::LinkDown(link, how) => self.on_link_down(link, how),
-            Input::Tick => {}
-        }
-        while let Some(alarm) = self.alarms.due(self.now) {
-            self.on_alarm(alarm);
+            Input::Tick(until) => {
+                while let Some(alarm) = self.alarms.due(until.min(self.now)) {
+                    self.on_alarm(alarm);
+                }
+            }
         }
         self.consult();
         std::mem::take(&mut self.out)
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -85,7 +85,7 @@
         let mut out = Vec::new();
         while let Some(at) = self.desk.next_wake().filter(|at| *at <= end) {
             self.now = self.now.max(at);
-            out.extend(self.desk.handle(self.now, Input::Tick));
+            out.extend(self.desk.handle(self.now, Input::Tick(self.now)));
         }
         self.now = end;
         out
@@ -868,6 +868,21 @@
     assert!(matches!(bench.pass(2 * S)[..], [Output::Dial(LinkId(3), _), ..]));
 }
 
+/// Danger: a loop that is late sees the clock before it sees what has arrived. An attempt was timed out and its task placed
+/// elsewhere while its host's answer had been there for 130 ms, and the end of what stood there was told to nobody.
+#[test]
+fn silence_is_concluded_from_only_once_all_that_came_before_was_read() {
+    let mut bench = Bench::new();
+    bench.offered(5, "plain", Some(100 * MS));
+    bench.now += 200 * MS;
+    // Another connection has its turn first.
+    bench.put(Input::Owner(OwnerId(2), Message::new(Kind::Test, 9)));
+    let answer = Message::new(Kind::Answer, 5).with(code::DESCRIPTION, b"here");
+    assert_eq!(replies(&bench.put(Input::Host(LinkId(1), answer.clone()))), [(1, answer)]);
+    bench.pass(S);
+    assert_eq!((bench.ends(), bench.desk.standing()), (vec![], 1));
+}
+
 #[test]
 fn batches_come_no_closer_than_the_settings_say() {
     let mut bench = Bench::new();
@@ -880,7 +895,7 @@
     let tick = Settings::sample().tick;
     assert_eq!([put(now, 1), put(now + tick / 4, 2), put(now + tick / 2, 3)], [1, 1, 1]);
     assert_eq!(bench.desk.next_wake(), Some(now + tick));
-    bench.desk.handle(now + tick, Input::Tick);
+    bench.desk.handle(now + tick, Input::Tick(now + tick));
     assert_eq!(bench.told.borrow().len(), 3, "what came meanwhile goes in together");
 }
 
@@ -988,7 +1003,7 @@
             let input = match rng.u8(0..12) {
                 _ if quiet => {
                     now += 300 * MS;
-                    Input::Tick
+                    Input::Tick(now)
                 }
                 0..=2 => {
                     let class = ["plain", "keyed", "once"][rng.usize(0..3)];
@@ -1018,7 +1033,7 @@
                     let started = if rng.bool() { now / 1000 } else { 0 };
                     Input::List(vec![event(step as u64 + 2, false, &[host("a", 1, state, started)])])
                 }
-                _ => Input::Tick,
+                _ => Input::Tick(now - rng.u64(0..20 * MS)),
             };
             match &input {
                 Input::LinkUp(l) => {
@@ -1075,7 +1090,7 @@
         }
         for _ in 0..3 {
             now += 10 * S;
-            desk.handle(now, Input::Tick);
+            desk.handle(now, Input::Tick(now));
         }
         let log = log.borrow();
         let mut ended = log.ended.clone();
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -335,7 +335,7 @@
                 }
                 (_, Some(at)) if at <= end => {
                     self.now = self.now.max(at);
-                    self.put(Input::Tick);
+                    self.put(Input::Tick(self.now));
                 }
                 _ => break,
             }
--- a/crates/runtime/src/timer.rs
+++ b/crates/runtime/src/timer.rs
@@ -22,21 +22,25 @@
         }
     }
 
-    /// Calls `tick` whenever the time that `next` names has come; never ends.
-    pub async fn keep(&self, clock: &Clock, next: impl Fn() -> Option<Micros>, tick: impl Fn()) {
+    /// Calls `tick` whenever the time that `next` names has come, with that time; never ends. What came before that time
+    /// has been read by then: the runtime looks for both at once, and wakes those who read first.
+    pub async fn keep(&self, clock: &Clock, next: impl Fn() -> Option<Micros>, tick: impl Fn(Micros)) {
         loop {
             let at = next();
             self.armed.set(at);
             let sleep = async {
                 match at {
-                    Some(at) => tokio::time::sleep_until(clock.instant(at)).await,
+                    Some(at) => {
+                        tokio::time::sleep_until(clock.instant(at)).await;
+                        at
+                    }
                     None => std::future::pending().await,
                 }
             };
             tokio::select! {
-                () = sleep => {
+                at = sleep => {
                     self.armed.set(Some(0));
-                    tick();
+                    tick(at);
                 }
                 () = self.wake.notified() => {}
             }
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -260,7 +260,7 @@
 /// Calls the desk when it wants to be called.
 pub(crate) async fn keep_time(shell: Rc<Shell>) {
     let next = || shell.desk.borrow().next_wake();
-    shell.timer.keep(&shell.clock, next, || shell.input(Input::Tick)).await;
+    shell.timer.keep(&shell.clock, next, |at| shell.input(Input::Tick(at))).await;
 }
 
 /// Looks connections over again and again.
