--- a/crates/cli/tests/fleet/host.rs
+++ b/crates/cli/tests/fleet/host.rs
@@ -124,7 +124,7 @@
 
     /// It stands here, and does not end by itself.
     pub fn keeps(&self, description: &[u8]) -> bool {
-        self.holds(description) && self.inner.borrow().copies[description].1 % LASTING == 0
+        self.holds(description) && self.inner.borrow().copies[description].1.is_multiple_of(LASTING)
     }
 
     /// Its owner has handed it over under another id, by which it is spoken of from now on.
@@ -190,7 +190,7 @@
                 let slow = inner.rng.u8(0..8) == 0;
                 let start = if slow { inner.rng.u64(300..1500) } else { inner.rng.u64(2..80) };
                 // Some go on until they are cut.
-                let life = if id % LASTING > 0 { inner.rng.u64(50..1500) } else { 3_600_000 };
+                let life = if !id.is_multiple_of(LASTING) { inner.rng.u64(50..1500) } else { 3_600_000 };
                 let times = [start, life].map(Duration::from_millis);
                 drop(inner);
                 self.does(self.clone().runs(controller, id, link, message.clone(), times));
--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -5,8 +5,9 @@
 use common::{Controller, Peer, Place, config, event, server, set_up};
 use peppercove_platform::wire::{Kind, Message, cause, code};
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::process::Command;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A journal service, one host named `a`, and a controller.
@@ -315,3 +316,62 @@
     let said = String::from_utf8_lossy(&done.stderr);
     assert_eq!((done.status.code(), said.matches("os error").count()), (Some(1), 1), "said once: {said}");
 }
+
+/// A host with a task that ends after a while: it says so over the connection that is open then, and over the next.
+fn holds(id: u64, place: Place) {
+    let end = Message::release(id, cause::ORDINARY);
+    // The connection opened last, and whether the task is over.
+    let state = Arc::new(Mutex::new((None::<TcpStream>, false)));
+    let (one, said) = (state.clone(), end.encode());
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(1500 + 10 * id));
+        let mut state = one.lock().expect("whole");
+        state.1 = true;
+        state.0.as_mut().map(|open| open.write_all(&said))
+    });
+    std::thread::spawn(move || {
+        for stream in place.0.incoming().map_while(Result::ok) {
+            let mut peer = Peer::of(stream);
+            let mut state = state.lock().expect("whole");
+            state.0 = peer.stream.try_clone().ok();
+            if state.1 {
+                peer.send(&end);
+            }
+            drop(state);
+            std::thread::spawn(move || {
+                while let Some(message) = peer.next() {
+                    if message.kind == Kind::Test {
+                        peer.send(&Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]));
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// More hosts hold tasks than there are descriptors for connections to them: each is asked in its turn, and an end that a
+/// host could tell nobody comes over the next connection.
+#[test]
+fn hosts_with_tasks_beyond_the_descriptors_are_asked_in_turn_and_no_end_is_missed() {
+    const HOSTS: u64 = 40;
+    let (journal, places): (_, Vec<Place>) = (Place::new(), (0..HOSTS).map(|_| Place::new()).collect());
+    let name = |n: usize| format!("h{n}");
+    let servers: Vec<String> =
+        places.iter().enumerate().map(|(n, p)| server(&name(n), p.address(), "active")).collect();
+    let text =
+        config(journal.address(), &servers, 64).replace("5000000,\"max-attempts", "250000,\"max-attempts");
+    assert!(text.contains(r#""dial-timeout":250000"#), "{text}");
+    let controller = Controller::start_with("t1", &text);
+    let mut owner = Peer::connect(controller.address);
+    for (n, place) in places.into_iter().enumerate() {
+        let (task, figures) = (format!("{n:016x}"), format!("cores:1;memory:2;service:aa;at:{}", name(n)));
+        let held =
+            Message::new(Kind::SetUp, n as u64 + 1).with(code::CLASS, b"any").with(code::WAIT, b"4000");
+        owner.send(&held.with(code::TASK, task.as_bytes()).with(code::FIGURES, figures.as_bytes()));
+        holds(n as u64 + 1, place);
+    }
+    let mut ends: Vec<Message> = (0..HOSTS).map(|_| owner.hear()).collect();
+    ends.sort_by_key(|m| m.id);
+    let wanted: Vec<Message> = (1..=HOSTS).map(|id| Message::release(id, cause::ORDINARY)).collect();
+    assert_eq!(ends, wanted);
+}
--- a/crates/serve/src/hosts.rs
+++ b/crates/serve/src/hosts.rs
@@ -1,6 +1,7 @@
 //! One connection to a host.
 
-use crate::shell::{Connection, Shell};
+use crate::connection::Connection;
+use crate::shell::Shell;
 use bytes::BytesMut;
 use peppercove_platform::wire::{Message, decode};
 use peppercove_platform::{Down, Input, LinkId};
@@ -9,10 +10,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+/// Opens a connection and keeps it until it ends.
+pub(crate) fn dial(shell: Rc<Shell>, link: LinkId, address: SocketAddr, connection: Rc<Connection>) {
+    spawn_local(keep(shell, link, address, connection));
+}
+
 /// Connects and carries messages both ways until the connection ends.
-pub(crate) async fn keep(shell: Rc<Shell>, link: LinkId, address: SocketAddr, connection: Rc<Connection>) {
+async fn keep(shell: Rc<Shell>, link: LinkId, address: SocketAddr, connection: Rc<Connection>) {
     let how = match timeout(shell.dial_timeout, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! input of the desk; what the desk gives back is written out. Nothing here decides anything about tasks; what is bounded
 //! here are connections and their bytes.
 
+mod connection;
 mod feed;
 mod hosts;
 mod owners;
@@ -86,7 +87,7 @@
     let config = read(path, environment)?;
     let address = config.listen;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let shell = Shell::new(config).shared();
+    let shell = Shell::new(config, hosts::dial).shared();
     shell.begin();
     let listen = |source| ServeError::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(listen)?;
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -1,17 +1,16 @@
 //! The desk, and what is around it: where inputs come in and outputs go out.
 
-use crate::hosts;
+use crate::connection::Connection;
 use peppercove::{Micros, Scheduler};
 use peppercove_platform::config::Config;
 use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
-use peppercove_runtime::{Clock, Outbox, Timer};
+use peppercove_runtime::{Clock, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
 /// A message whose first bytes came and whose rest does not within this time never comes.
 const HALF_A_MESSAGE: Micros = 1_000_000;
@@ -20,50 +19,8 @@
 /// How often connections are looked over.
 const SWEEP: Duration = Duration::from_millis(100);
 
-/// A connection as the sweep sees it.
-#[derive(Debug)]
-pub(crate) struct Connection {
-    pub(crate) outbox: Outbox,
-    pub(crate) since: Micros,
-    /// Something whole was read from it at this time.
-    pub(crate) heard_at: Cell<Option<Micros>>,
-    /// Part of a message has waited for its rest since then.
-    pub(crate) half_since: Cell<Option<Micros>>,
-}
-
-impl Connection {
-    fn new(since: Micros, unread: usize) -> Rc<Connection> {
-        let (heard_at, half_since) = (Cell::new(None), Cell::new(None));
-        Rc::new(Connection { outbox: Outbox::new(unread), since, heard_at, half_since })
-    }
-
-    /// Writes to a host. Danger: left to its connection's turn, a set-up reached its host after the final answer to its
-    /// owner, whose connection had its turn before.
-    fn send(&self, frame: &[u8]) -> bool {
-        self.outbox.push(frame) && self.outbox.write()
-    }
-
-    /// Writes what takes a set-up back. A host that reads nothing must not get later what waits here.
-    fn take_back(&self, frame: &[u8]) {
-        if !self.send(frame) {
-            self.outbox.close();
-        }
-    }
-
-    /// Notes what a read brought: whether whole messages came, and whether a part of one is left.
-    pub(crate) fn read(&self, now: Micros, whole: bool, left: bool) {
-        if whole {
-            self.heard_at.set(Some(now));
-        }
-        match (left, self.half_since.get()) {
-            (false, _) => self.half_since.set(None),
-            (true, None) => self.half_since.set(Some(now)),
-            // The part that is left now is another message's.
-            (true, Some(_)) if whole => self.half_since.set(Some(now)),
-            (true, Some(_)) => {}
-        }
-    }
-}
+/// Starts what keeps a connection to a host.
+pub(crate) type Dial = fn(Rc<Shell>, LinkId, SocketAddr, Rc<Connection>);
 
 pub(crate) struct Shell {
     desk: RefCell<Desk<Scheduler>>,
@@ -86,11 +43,12 @@
     /// As the desk was told last.
     crowded: Cell<bool>,
     links: RefCell<BTreeMap<LinkId, Rc<Connection>>>,
+    dial: Dial,
     me: Weak<Shell>,
 }
 
 impl Shell {
-    pub(crate) fn new(config: Config) -> Shell {
+    pub(crate) fn new(config: Config, dial: Dial) -> Shell {
         let bounds = Bounds::of(&config);
         let dial_timeout = Duration::from_micros(config.dial_timeout());
         let pushed = !config.settings.list_on_request;
@@ -112,6 +70,7 @@
             next_owner: Cell::new(1),
             crowded: Cell::new(false),
             links: RefCell::default(),
+            dial,
             me: Weak::new(),
         }
     }
@@ -152,7 +111,7 @@
                 let Some(shell) = self.me.upgrade() else { return };
                 let connection = Connection::new(self.clock.now(), self.bounds.unread);
                 self.links.borrow_mut().insert(link, connection.clone());
-                spawn_local(hosts::keep(shell, link, address, connection));
+                (self.dial)(shell, link, address, connection);
             }
             Output::Hang(link) => {
                 if let Some(connection) = self.links.borrow().get(&link) {
@@ -270,31 +229,3 @@
         shell.look_over();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::Connection;
-    use peppercove_runtime::{Closed, carry};
-    use std::rc::Rc;
-    use tokio::net::{TcpListener, TcpStream};
-
-    #[tokio::test(flavor = "current_thread")]
-    async fn hosts_are_written_to_at_once_and_what_they_leave_is_not_sent_after_it_was_taken_back() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("bound");
-        let (here, there) = tokio::join!(TcpStream::connect(address), listener.accept());
-        let (here, _there) = (Rc::new(here.expect("connected")), there.expect("accepted"));
-        let connection = Connection::new(0, 1 << 24);
-        let carried = carry(&here, &connection.outbox, |_| true);
-        let acts = async {
-            tokio::task::yield_now().await;
-            // Nobody else has a turn in between.
-            assert!(connection.send(b"set-up"));
-            connection.take_back(b"given up");
-            assert_eq!(connection.outbox.written(), 14);
-            assert!(!connection.send(&vec![0; 1 << 23]), "more than a peer that reads nothing is sent");
-            connection.take_back(b"given up");
-        };
-        assert!(matches!(tokio::join!(carried, acts).0, Closed::Here));
-    }
-}
