Held tasks are looked at when something can come of it; places are counted once a task

Cause: while hosts are replaced there is no room, tasks are held, and src/choice.rs looked at each of them on each batch (place_held, set_wake), up to a thousand times a second, and on each round tried each against every host; spread_allows summed the tasks of the service anew for each host. With a hundred held and 640 hosts this takes more than the share of the core.

Now the first end of a held task is kept and nothing is looked at before it without news; a round goes through the machines that have room for the least of the tasks; places are counted once a task; the mean of what others ask is kept as it changes; of the homes only the first are sorted.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,7 +6,9 @@
 //! function of its own below, with the danger it meets. `docs/design.md` tells when each of them acts.
 
 use crate::interface::*;
-use crate::state::{Attempt, Machine, Part, Stage, Task, narrow, release, scatter, unit};
+use crate::state::{
+    Attempt, Counts, Machine, Mean, Part, Stage, Task, first, narrow, release, scatter, unit,
+};
 use std::collections::BTreeSet;
 
 /// Share of memory filled by choice: the last tenth is left for tasks that grow after they start.
@@ -49,6 +51,9 @@
     watch_failures: u32,
     tasks: Table<RequestId, Task>,
     held: Vec<RequestId>,
+    /// The first of them has to be answered then.
+    held_until: Micros,
+    others: Mean,
     services: Table<ServiceId, Table<MachineId, u32>>,
     use_ratio: [f64; 2],
     start_times: Vec<[f64; 2]>,
@@ -81,6 +86,8 @@
             watch_failures: 0,
             tasks: Table::new(),
             held: Vec::new(),
+            held_until: Micros::MAX,
+            others: Mean::default(),
             services: Table::new(),
             room_news: false,
             next_try: 0,
@@ -169,6 +176,7 @@
         // Bounded state: a machine that left is forgotten with its last task.
         self.machines
             .retain(|_, m| m.line.state != MachineState::Gone || m.programs.values().any(|p| p.0 > 0));
+        self.others = Mean::of(self.machines.values().filter_map(|m| m.others));
     }
 
     fn on_line(&mut self, line: &MachineLine) {
@@ -229,8 +237,8 @@
         let deadline = self.now.saturating_add(ask.deadline_in);
         let task = Task::new(ask, self.now, deadline, Stage::Held);
         self.tasks.insert(ask.request, task);
-        if !self.try_place(ask.request) {
-            self.held.push(ask.request);
+        if !self.try_place(ask.request, None) {
+            self.hold(ask.request);
         }
     }
 
@@ -248,14 +256,40 @@
         // Danger: lists and reports count the task already, and as another's. It would stand in the entry
         // twice, and after a restart the machines would look full.
         if let Some(m) = self.machines.get_mut(&machine) {
+            let before = m.others;
             m.was_own_before(ask);
+            self.others.change(before, m.others);
         }
         task.attempts.push(attempt);
         self.tasks.insert(ask.request, task);
     }
 
+    fn hold(&mut self, request: RequestId) {
+        let Some(task) = self.tasks.get(&request) else { return };
+        self.held_until = self.held_until.min(self.ends_at(task));
+        self.held.push(request);
+    }
+
+    /// Until then a held task can still be placed. Held past the window of its key, it can be placed no more.
+    fn ends_at(&self, task: &Task) -> Micros {
+        let class = &self.settings.classes[usize::from(task.ask.class)];
+        let first = task.attempts.iter().find(|a| a.may_have_run);
+        let window = match (class.repeat, first) {
+            (Repeat::Keyed { window, .. }, Some(first)) => {
+                (first.sent_at + window).saturating_sub(self.settings.tick)
+            }
+            _ => Micros::MAX,
+        };
+        task.deadline.saturating_sub(self.margin()).min(window)
+    }
+
+    /// Danger: many tasks are held where room is short. Looked at with each batch, they take all the time
+    /// that there is, and answers come too late. They are looked at when something can come of it.
     fn place_held(&mut self) {
-        let due = self.now >= self.next_try && self.room_news;
+        let due = self.now >= self.next_try && self.room_news && !self.held.is_empty();
+        if !due && self.now < self.held_until {
+            return;
+        }
         let mut waiting = std::mem::take(&mut self.held);
         waiting.retain(|r| self.tasks.get(r).is_some_and(|t| t.stage == Stage::Held));
         if due && !waiting.is_empty() {
@@ -265,20 +299,31 @@
             waiting = ranked.into_iter().map(|(_, r)| r).collect();
             self.room_news = false;
             self.next_try = self.now + self.shortest_aim() / 32;
-            waiting.retain(|&r| !self.try_place(r));
+            let open = self.open_to(&waiting);
+            waiting.retain(|&r| !self.try_place(r, Some(&open)));
         }
-        let margin = self.margin();
+        self.held_until = Micros::MAX;
         for request in waiting {
             match self.tasks.get(&request) {
-                // Held past the window of its key, it can be placed no more: its owner is told at once.
-                Some(task) if task.deadline <= self.now + margin || !self.may_send_again(task) => {
-                    self.answer_no(request);
-                }
-                _ => self.held.push(request),
+                // Its owner is told at once.
+                Some(task) if self.ends_at(task) <= self.now => self.answer_no(request),
+                _ => self.hold(request),
             }
         }
     }
 
+    /// Machines that could take the least of these tasks. Nothing opens while they are gone through.
+    fn open_to(&self, waiting: &[RequestId]) -> Vec<MachineId> {
+        let asks = || waiting.iter().filter_map(|r| self.tasks.get(r)).map(|t| &t.ask);
+        let least = |of: fn(&Request) -> f64| asks().map(of).fold(f64::INFINITY, f64::min);
+        let least = [least(|a| a.cores), least(|a| a.memory)];
+        let mean = self.others.get();
+        let open = |m: &&Machine| {
+            m.line.state == MachineState::Ready && self.has_room(m, least, 1.0, mean) && self.cold_allows(m)
+        };
+        self.machines.values().filter(open).map(|m| m.line.machine).collect()
+    }
+
     /// Worth for its room: worth goes with size, so only class and timeliness tell.
     fn value(&self, request: RequestId) -> f64 {
         let Some(task) = self.tasks.get(&request) else { return 0.0 };
@@ -299,14 +344,19 @@
     // ---- The filter and the draw ----
 
     /// Draws a machine and offers the task; false leaves it held.
-    fn try_place(&mut self, request: RequestId) -> bool {
+    fn try_place(&mut self, request: RequestId, among: Option<&[MachineId]>) -> bool {
         let Some(task) = self.tasks.get(&request) else { return true };
         if task.deadline <= self.now + self.margin() || self.now < task.rests_until {
             return false;
         }
-        let mean_others = self.mean_others();
-        let mut set: Vec<&Machine> =
-            self.machines.values().filter(|m| self.may_take(m, task, mean_others)).collect();
+        // An unheard machine starts at the mean of those heard.
+        let mean_others = self.others.get();
+        let counts = self.counts(task);
+        let may = |m: &&Machine| self.may_take(m, task, mean_others, &counts);
+        let mut set: Vec<&Machine> = match among {
+            Some(ids) => ids.iter().filter_map(|id| self.machines.get(id)).filter(may).collect(),
+            None => self.machines.values().filter(may).collect(),
+        };
         self.keep_opened(&mut set, mean_others);
         self.keep_home(&mut set, &task.ask, mean_others);
         narrow(&mut set, |m| self.keeps_memory_free(m, &task.ask, mean_others));
@@ -318,36 +368,28 @@
         true
     }
 
-    /// An unheard machine starts at the mean of those heard.
-    fn mean_others(&self) -> [f64; 2] {
-        let mut sum = [0.0; 2];
-        let mut heard = 0.0;
-        for others in self.machines.values().filter_map(|m| m.others) {
-            heard += 1.0;
-            (sum[0], sum[1]) = (sum[0] + others[0], sum[1] + others[1]);
-        }
-        if heard == 0.0 { sum } else { [sum[0] / heard, sum[1] / heard] }
-    }
-
-    fn may_take(&self, m: &Machine, task: &Task, mean_others: [f64; 2]) -> bool {
+    fn may_take(&self, m: &Machine, task: &Task, mean_others: [f64; 2], counts: &Counts) -> bool {
         let class = &self.settings.classes[usize::from(task.ask.class)];
         m.line.state == MachineState::Ready
             && class.kind.is_none_or(|k| k == m.line.kind)
             && self.fits(m, &task.ask, mean_others)
             && self.is_rested(m, &task.ask, class)
             && self.group_allows(m, task, class)
-            && self.spread_allows(m, task, class)
+            && self.spread_allows(m, class, counts)
             && self.cold_allows(m)
     }
 
     fn fits(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
-        let asked = m.asked(mean_others);
         let open = 1.0 - self.headroom[usize::from(ask.class)];
         let refused = m.refused.filter(|_| self.now < m.refused_until);
         let refused = refused.is_some_and(|r| ask.cores >= r[0] && ask.memory >= r[1]);
-        !refused
-            && asked[0] + ask.cores <= open * self.settings.accepts_cores * m.cores
-            && asked[1] + ask.memory <= open * self.settings.accepts_memory * m.memory
+        !refused && self.has_room(m, [ask.cores, ask.memory], open, mean_others)
+    }
+
+    fn has_room(&self, m: &Machine, asks: [f64; 2], open: f64, mean_others: [f64; 2]) -> bool {
+        let asked = m.asked(mean_others);
+        asked[0] + asks[0] <= open * self.settings.accepts_cores * m.cores
+            && asked[1] + asks[1] <= open * self.settings.accepts_memory * m.memory
     }
 
     /// Danger: a machine that answers nothing, or fails one tenant's tasks of one class, keeps an inviting
@@ -372,19 +414,25 @@
     }
 
     /// Danger: a bind that crowds a service into one place; everything without an end counts.
-    fn spread_allows(&self, m: &Machine, task: &Task, class: &Class) -> bool {
-        let Some(held) = self.services.get(&task.ask.service) else { return class.most > 0 };
-        // A task handed over on a machine that no list names may stand anywhere, so it counts everywhere.
-        let same_place = |o: &Machine| match class.spread {
-            Spread::Off => false,
-            _ if !o.listed => true,
-            Spread::Machine => o.line.machine == m.line.machine,
-            Spread::Rack => o.line.rack == m.line.rack && o.line.zone == m.line.zone,
-            Spread::Zone => o.line.zone == m.line.zone,
-        };
-        let there = held.iter().filter(|(id, _)| self.machines.get(id).is_some_and(same_place));
-        let count: u32 = there.map(|(_, n)| n).sum();
-        class.spread == Spread::Off || count < class.most
+    fn spread_allows(&self, m: &Machine, class: &Class, counts: &Counts) -> bool {
+        class.spread == Spread::Off || counts.at(Scheduler::place(m, class.spread)) < class.most
+    }
+
+    fn place(m: &Machine, spread: Spread) -> u64 {
+        match spread {
+            Spread::Machine | Spread::Off => m.line.machine.0,
+            Spread::Rack => u64::from(m.line.zone) << 16 | u64::from(m.line.rack),
+            Spread::Zone => u64::from(m.line.zone),
+        }
+    }
+
+    /// The tasks of a task's service by place. One handed over on a machine that no list names may stand
+    /// anywhere, so it counts everywhere.
+    fn counts(&self, task: &Task) -> Counts {
+        let spread = self.settings.classes[usize::from(task.ask.class)].spread;
+        let held = self.services.get(&task.ask.service).filter(|_| spread != Spread::Off);
+        let held = held.into_iter().flatten().filter_map(|(id, n)| Some((self.machines.get(id)?, *n)));
+        Counts::of(held.map(|(m, n)| (m.listed.then(|| Scheduler::place(m, spread)), n)))
     }
 
     /// Danger: all schedulers together push a fresh machine over. The offers that it always bears are split
@@ -428,8 +476,8 @@
         let entries: Vec<f64> =
             set.iter().filter(|m| opened(m)).map(|m| self.entry(m, mean_others)).collect();
         let spare = entries.iter().sum::<f64>() <= OPENED_FILL * entries.len() as f64;
-        let draining = self.machines.values().any(|m| m.line.state == MachineState::Draining);
-        if self.settings.fleet_price > 0.0 && !draining && spare {
+        let draining = || self.machines.values().any(|m| m.line.state == MachineState::Draining);
+        if self.settings.fleet_price > 0.0 && spare && !draining() {
             narrow(set, opened);
         }
     }
@@ -457,10 +505,12 @@
         let part = |m: &Machine| unit(scatter(ask.service.0 ^ scatter(m.line.machine.0)));
         let rank = |m: &Machine| part(m).max(f64::MIN_POSITIVE).ln() / m.cores.max(1e-9);
         let mut ranked: Vec<(f64, &Machine)> = set.iter().map(|m| (rank(m), *m)).collect();
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.line.machine.cmp(&b.1.line.machine)));
         // As many again stand in for homes that run short of memory.
         let homes = self.homes[usize::from(ask.class)].round() as usize;
-        let mut ranked: Vec<&Machine> = ranked.into_iter().take(homes * 2).map(|(_, m)| m).collect();
+        first(&mut ranked, homes * 2, |a, b| {
+            b.0.total_cmp(&a.0).then(a.1.line.machine.cmp(&b.1.line.machine))
+        });
+        let mut ranked: Vec<&Machine> = ranked.into_iter().map(|(_, m)| m).collect();
         narrow(&mut ranked, |m| self.keeps_memory_free(m, ask, mean_others));
         ranked.truncate(homes);
         let home = |m: &Machine| ranked.iter().any(|h| h.line.machine == m.line.machine);
@@ -660,7 +710,7 @@
 
     /// What a machine uses beyond what its asks explain: neighbours, hungry services.
     fn learn_excess(&mut self, machine: MachineId, busy: [Option<f64>; 2]) {
-        let (mean, ratio) = (self.mean_others(), self.use_ratio);
+        let (mean, ratio) = (self.others.get(), self.use_ratio);
         let Some(m) = self.machines.get_mut(&machine) else { return };
         let (asked, size) = (m.asked(mean), [m.cores, m.memory]);
         for i in 0..2 {
@@ -672,7 +722,7 @@
 
     fn on_load(&mut self, machine: MachineId, load: &Load) {
         self.room_news = true;
-        let mean = self.mean_others();
+        let mean = self.others.get();
         let then = self.now.saturating_sub(self.shortest_aim() / 2);
         let Some(m) = self.machines.get_mut(&machine) else { return };
         let (size, asked) = ([m.cores, m.memory], m.asked(mean));
@@ -682,7 +732,9 @@
             ReportCounts::Asked => {
                 if let [Some(cores), Some(memory)] = free {
                     let asked = [size[0] - cores, size[1] - memory];
+                    let before = m.others;
                     Scheduler::learn_others(&self.settings, m, asked, then);
+                    self.others.change(before, m.others);
                     m.told_at = then;
                 }
             }
@@ -752,8 +804,8 @@
         self.tasks.insert(request, task);
         if goes_on && hopeless {
             self.answer_no(request);
-        } else if goes_on && !self.try_place(request) {
-            self.held.push(request);
+        } else if goes_on && !self.try_place(request, None) {
+            self.hold(request);
         }
     }
 
@@ -816,8 +868,10 @@
             _ => return self.rest(machine, Part::of(ask)),
         };
         // Less than this task's ask was free, half of it in the mean: the rest others asked.
+        let before = m.others;
         let others = m.others.get_or_insert([0.0; 2]);
         others[short] = others[short].max(accepts[short] * size[short] - asks[short] / 2.0 - m.own[short]);
+        self.others.change(before, m.others);
         let mut refused = [0.0; 2];
         refused[short] = asks[short];
         m.refused = Some(refused);
@@ -931,11 +985,8 @@
     // ---- Timers ----
 
     fn set_wake(&mut self) {
-        let margin = self.margin();
-        let ends =
-            self.held.iter().filter_map(|r| self.tasks.get(r)).map(|t| t.deadline - margin.min(t.deadline));
-        let retry = (!self.held.is_empty()).then(|| self.now + self.shortest_aim() / 8);
-        let wake = ends.chain(retry).chain(self.watch_at).min();
+        let retry = (!self.held.is_empty()).then(|| self.held_until.min(self.now + self.shortest_aim() / 8));
+        let wake = retry.into_iter().chain(self.watch_at).min();
         if let Some(at) = wake.map(|at| at.max(self.now + 1)).filter(|at| *at < self.wake) {
             self.wake = at;
             self.out.push(Action::SetTimer { label: 0, at });
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The types that the decision module keeps its state in, and plain helpers. No decision lives here.
 
 use crate::interface::*;
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 
 /// One offer of a task to a machine.
@@ -145,6 +146,77 @@
     }
 }
 
+/// The mean of what others asked for on the machines that were heard, kept as that changes.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Mean {
+    sum: [f64; 2],
+    heard: f64,
+}
+
+impl Mean {
+    /// From anew: sums that are kept take on what rounding leaves.
+    pub(crate) fn of(heard: impl Iterator<Item = [f64; 2]>) -> Mean {
+        let mut mean = Mean::default();
+        for others in heard {
+            mean.change(None, Some(others));
+        }
+        mean
+    }
+
+    pub(crate) fn change(&mut self, before: Option<[f64; 2]>, after: Option<[f64; 2]>) {
+        for (sign, others) in [(-1.0, before), (1.0, after)] {
+            if let Some(others) = others {
+                self.heard += sign;
+                self.sum[0] += sign * others[0];
+                self.sum[1] += sign * others[1];
+            }
+        }
+    }
+
+    pub(crate) fn get(&self) -> [f64; 2] {
+        if self.heard > 0.0 { self.sum.map(|sum| (sum / self.heard).max(0.0)) } else { [0.0; 2] }
+    }
+}
+
+/// Tasks of a service by place, and those whose place is not known.
+#[derive(Default)]
+pub(crate) struct Counts {
+    anywhere: u32,
+    places: Vec<(u64, u32)>,
+}
+
+impl Counts {
+    pub(crate) fn of(tasks: impl Iterator<Item = (Option<u64>, u32)>) -> Counts {
+        let mut counts = Counts::default();
+        for (place, n) in tasks {
+            match place {
+                None => counts.anywhere += n,
+                Some(place) => match counts.places.iter_mut().find(|(p, _)| *p == place) {
+                    Some((_, count)) => *count += n,
+                    None => counts.places.push((place, n)),
+                },
+            }
+        }
+        counts
+    }
+
+    pub(crate) fn at(&self, place: u64) -> u32 {
+        let there = self.places.iter().find(|(p, _)| *p == place);
+        self.anywhere + there.map_or(0, |(_, n)| *n)
+    }
+}
+
+/// Leaves the first `n` in this order, sorted.
+pub(crate) fn first<T>(set: &mut Vec<T>, n: usize, order: impl Fn(&T, &T) -> Ordering) {
+    if n < set.len() {
+        if n > 0 {
+            set.select_nth_unstable_by(n - 1, &order);
+        }
+        set.truncate(n);
+    }
+    set.sort_unstable_by(order);
+}
+
 /// Keeps those that pass, unless none does.
 pub(crate) fn narrow(set: &mut Vec<&Machine>, passes: impl Fn(&Machine) -> bool) {
     if set.iter().any(|m| passes(m)) {
