Held tasks are kept by when each has to be answered

A round through them is made when there is news and it is due; those whose time has come are at the front of an ordered set. Before, one task whose time came made all of them be looked at: with 1,250 held, 220 us a batch (the module alone, 400 hosts).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,9 +50,8 @@
     watch_at: Option<Micros>,
     watch_failures: u32,
     tasks: Table<RequestId, Task>,
-    held: Vec<RequestId>,
-    /// The first of them has to be answered then.
-    held_until: Micros,
+    /// Tasks without an offer, by when each has to be answered.
+    held: BTreeSet<(Micros, RequestId)>,
     others: Mean,
     services: Table<ServiceId, Table<MachineId, u32>>,
     use_ratio: [f64; 2],
@@ -85,8 +84,7 @@
             watch_at: None,
             watch_failures: 0,
             tasks: Table::new(),
-            held: Vec::new(),
-            held_until: Micros::MAX,
+            held: BTreeSet::new(),
             others: Mean::default(),
             services: Table::new(),
             room_news: false,
@@ -265,9 +263,13 @@
     }
 
     fn hold(&mut self, request: RequestId) {
-        let Some(task) = self.tasks.get(&request) else { return };
-        self.held_until = self.held_until.min(self.ends_at(task));
-        self.held.push(request);
+        if let Some(task) = self.tasks.get(&request) {
+            self.held.insert((self.ends_at(task), request));
+        }
+    }
+
+    fn is_held(&self, request: RequestId) -> bool {
+        self.tasks.get(&request).is_some_and(|t| t.stage == Stage::Held)
     }
 
     /// Until then a held task can still be placed. Held past the window of its key, it can be placed no more.
@@ -286,35 +288,33 @@
     /// Danger: many tasks are held where room is short. Looked at with each batch, they take all the time
     /// that there is, and answers come too late. They are looked at when something can come of it.
     fn place_held(&mut self) {
-        let due = self.now >= self.next_try && self.room_news && !self.held.is_empty();
-        if !due && self.now < self.held_until {
+        while let Some((_, request)) = self.held.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.held.pop_first();
+            if self.is_held(request) {
+                // It can be placed no more: its owner is told at once.
+                self.answer_no(request);
+            }
+        }
+        if self.now < self.next_try || !self.room_news || self.held.is_empty() {
             return;
         }
-        let mut waiting = std::mem::take(&mut self.held);
-        waiting.retain(|r| self.tasks.get(r).is_some_and(|t| t.stage == Stage::Held));
-        if due && !waiting.is_empty() {
-            // Danger: when room is short the first in line takes it; the most worth for its room goes first.
-            let mut ranked: Vec<(f64, RequestId)> = waiting.iter().map(|&r| (self.value(r), r)).collect();
-            ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-            waiting = ranked.into_iter().map(|(_, r)| r).collect();
-            self.room_news = false;
-            self.next_try = self.now + self.shortest_aim() / 32;
-            let open = self.open_to(&waiting);
-            waiting.retain(|&r| !self.try_place(r, Some(&open)));
-        }
-        self.held_until = Micros::MAX;
-        for request in waiting {
-            match self.tasks.get(&request) {
-                // Its owner is told at once.
-                Some(task) if self.ends_at(task) <= self.now => self.answer_no(request),
-                _ => self.hold(request),
+        // Danger: when room is short the first in line takes it; the most worth for its room goes first.
+        let waiting = std::mem::take(&mut self.held).into_iter().filter(|(_, r)| self.is_held(*r));
+        let mut ranked: Vec<(f64, RequestId)> = waiting.map(|(_, r)| (self.value(r), r)).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        self.room_news = false;
+        self.next_try = self.now + self.shortest_aim() / 32;
+        let open = self.open_to(&ranked);
+        for (_, request) in ranked {
+            if !self.try_place(request, Some(&open)) {
+                self.hold(request);
             }
         }
     }
 
     /// Machines that could take the least of these tasks. Nothing opens while they are gone through.
-    fn open_to(&self, waiting: &[RequestId]) -> Vec<MachineId> {
-        let asks = || waiting.iter().filter_map(|r| self.tasks.get(r)).map(|t| &t.ask);
+    fn open_to(&self, waiting: &[(f64, RequestId)]) -> Vec<MachineId> {
+        let asks = || waiting.iter().filter_map(|(_, r)| self.tasks.get(r)).map(|t| &t.ask);
         let least = |of: fn(&Request) -> f64| asks().map(of).fold(f64::INFINITY, f64::min);
         let least = [least(|a| a.cores), least(|a| a.memory)];
         let mean = self.others.get();
@@ -985,8 +985,8 @@
     // ---- Timers ----
 
     fn set_wake(&mut self) {
-        let retry = (!self.held.is_empty()).then(|| self.held_until.min(self.now + self.shortest_aim() / 8));
-        let wake = retry.into_iter().chain(self.watch_at).min();
+        let ends = self.held.first().map(|(at, _)| (*at).min(self.now + self.shortest_aim() / 8));
+        let wake = ends.into_iter().chain(self.watch_at).min();
         if let Some(at) = wake.map(|at| at.max(self.now + 1)).filter(|at| *at < self.wake) {
             self.wake = at;
             self.out.push(Action::SetTimer { label: 0, at });
