Set-ups wait for their turn behind words of hosts and alarms, one of each owner at a time

Now set-ups are read at once and wait in the desk by owner; owners take turns; after each tick's worth of turns all that has arrived comes first. A set-up's time counts from its arrival, and what is given up while it waits never reaches the module. Answers are written when they are decided, once a connection and input. What may wait for readers is one budget shared by all connections: 16 KiB each at 48 MB and 780 descriptors was less than two messages.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -5,6 +5,7 @@
 //! are facts of connections, attempts and tasks, and every answer that is not a bound's or a reader's is the module's.
 
 mod hosts;
+mod line;
 mod read;
 mod words;
 
@@ -13,6 +14,7 @@
 use crate::wire::{Kind, Message, cause, code};
 use bytes::Bytes;
 use hosts::Hosts;
+use line::Line;
 use peppercove::wire::Shape;
 use peppercove::{
     Action, Event, ListScope, Load, MachineId, Micros, Outcome, RequestId, Settings, TaskKey, Why,
@@ -56,8 +58,10 @@
     List(Vec<Entry>),
     /// The journal service broke off, went silent or was out of reach.
     ListFailed,
-    /// A message of an owner.
+    /// A message of an owner. A set-up waits for its turn, its time counts from now on.
     Owner(OwnerId, Message),
+    /// It is the next set-up's turn.
+    Turn,
     /// An owner's connection is closed.
     OwnerGone(OwnerId),
     /// So many connections of owners are open.
@@ -110,7 +114,7 @@
     pub all_links: usize,
     /// Connections of owners; the shell keeps to it.
     pub owners: usize,
-    /// Bytes that may wait for one reader; the shell keeps to it.
+    /// Bytes that may wait for readers, all together; the shell keeps to it.
     pub unread: usize,
     /// A connection to a host with tasks or attempts is tested once it was silent for this long.
     pub test_every: Micros,
@@ -144,9 +148,8 @@
         // program's own: listener, journal service, log, runtime. Connections to hosts have what is left.
         let owners = config.limits.sockets / 3 * 2;
         let connections = config.limits.sockets.saturating_sub(16);
-        // Another quarter of the memory may wait for readers, all of them slow at once.
-        let unread = ((config.limits.memory_mb as usize).saturating_mul(1 << 20) / 4 / connections)
-            .clamp(16 << 10, 256 << 10);
+        // Another quarter of the memory may wait for readers.
+        let unread = (config.limits.memory_mb as usize).saturating_mul(1 << 20) / 4;
         Bounds {
             open,
             open_each: (open / 4).clamp(16, 256),
@@ -298,6 +301,7 @@
     /// Asks that are over, to be forgotten once the module has been told.
     over: Vec<RequestId>,
     owners: BTreeMap<OwnerId, Owner>,
+    line: Line,
     /// Ends that no connection could be found for, and until when they are worth telling.
     untold: VecDeque<(Micros, Bytes)>,
     hosts: Hosts,
@@ -323,6 +327,7 @@
             wires: BTreeMap::new(),
             over: Vec::new(),
             owners: BTreeMap::new(),
+            line: Line::default(),
             untold: VecDeque::new(),
             hosts: Hosts::new(seed),
             alarms: Alarms::default(),
@@ -344,6 +349,11 @@
                 self.events.push(Event::MachineList { scope, version, lines });
             }
             Input::Owner(owner, message) => self.on_owner(owner, message),
+            Input::Turn => {
+                if let Some((owner, came, message)) = self.line.next() {
+                    self.on_set_up(owner, came, &message);
+                }
+            }
             Input::OwnerGone(owner) => self.on_owner_gone(owner),
             Input::Owners(open) => {
                 let Bounds { connections, owners, .. } = self.bounds;
@@ -376,7 +386,12 @@
 
     /// Set-ups without an answer.
     pub fn open(&self) -> usize {
-        self.open
+        self.open + self.line.len()
+    }
+
+    /// A set-up waits for its turn.
+    pub fn has_waiting(&self) -> bool {
+        self.line.len() > 0
     }
 
     /// Tasks that stand.
@@ -391,7 +406,7 @@
 
     /// An owner's connection has a set-up without an answer.
     pub fn is_waited_for(&self, owner: OwnerId) -> bool {
-        self.owners.get(&owner).is_some_and(|o| !o.open.is_empty())
+        self.line.of(owner) > 0 || self.owners.get(&owner).is_some_and(|o| !o.open.is_empty())
     }
 
     /// An owner's connection has brought a set-up that could be used.
@@ -502,6 +517,12 @@
             let news = self.hosts.learn(&hosts, &self.shape);
             let named: Vec<MachineId> = news.lines.iter().map(|l| l.machine).collect();
             self.events.push(Event::MachineList { scope, version, lines: news.lines });
+            for machine in named.iter().chain(&news.gone) {
+                // Danger: a connection that comes up late would bring there what was bound before this was told.
+                for (request, attempt) in self.hosts.unsent_to_leaving(*machine) {
+                    self.give_up(request, attempt, Outcome::Unreachable, false);
+                }
+            }
             for machine in named {
                 // Tasks may have been handed over there before the list told its address.
                 self.redial(machine);
@@ -521,7 +542,13 @@
 
     fn on_owner(&mut self, from: OwnerId, message: Message) {
         match message.kind {
-            Kind::SetUp => self.on_set_up(from, &message),
+            // Danger: hundreds of set-ups that come at once take long, and words of hosts, alarms and the set-ups of
+            // others would come after them all. What stands already has to be known at once, and so has what is beyond
+            // a bound.
+            Kind::SetUp if read::names_host(&message) || self.is_full(from) => {
+                self.on_set_up(from, self.now, &message);
+            }
+            Kind::SetUp => self.line.push(from, self.now, message),
             Kind::Test => {
                 let passed = Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]);
                 self.out.push(Output::Reply(from, passed.encode()));
@@ -532,7 +559,13 @@
         }
     }
 
-    fn on_set_up(&mut self, from: OwnerId, message: &Message) {
+    /// No more set-ups of this connection are taken.
+    fn is_full(&self, from: OwnerId) -> bool {
+        let of_it = self.owners.get(&from).map_or(0, |o| o.open.len()) + self.line.of(from);
+        of_it >= self.bounds.open_each || self.open() >= self.bounds.open
+    }
+
+    fn on_set_up(&mut self, from: OwnerId, came: Micros, message: &Message) {
         let read = read::set_up(message, &self.settings, &self.shape);
         let turn_away = Message::release(message.id, cause::TURNED_AWAY).encode();
         let (mut request, at, body) = match read {
@@ -562,27 +595,29 @@
             }
             return;
         }
-        if let Some(held) = held {
+        if held.is_some() || self.line.holds(from, message.id) {
             // Under the id of an open set-up: the first is not disturbed. On its own connection its answer is the
             // only one that may carry the id.
             self.counters.unusable += 1;
-            if held.owner != from {
+            if held.is_some_and(|h| h.owner != from) {
                 self.out.push(Output::Reply(from, turn_away));
             }
             return;
         }
-        let owner = self.owners.entry(from).or_default();
-        if owner.open.len() >= self.bounds.open_each || self.open >= self.bounds.open {
+        if self.is_full(from) {
             self.counters.surplus += 1;
             self.out.push(Output::Reply(from, turn_away));
             return;
         }
+        let owner = self.owners.entry(from).or_default();
         owner.open.insert(request.request);
         owner.usual = true;
         self.next_request += 1;
         self.open += 1;
         self.counters.taken += 1;
-        let deadline = self.now.saturating_add(request.deadline_in);
+        // Its owner counts from when it sent it, and it has waited here since it came.
+        let deadline = came.saturating_add(request.deadline_in);
+        request.deadline_in = deadline.saturating_sub(self.now);
         // The owner gives up by itself; this is for one that is cut off.
         self.alarms.set(
             deadline.saturating_add(self.settings.answer_slack + self.bounds.test_every),
@@ -652,6 +687,9 @@
     }
 
     fn on_owner_release(&mut self, from: OwnerId, message: &Message) {
+        if self.line.give_up(from, message.id) {
+            self.counters.abandoned += 1;
+        }
         let Some(&request) = self.wires.get(&message.id) else { return };
         let Some(ask) = self.asks.get(&request) else { return };
         match ask.life {
@@ -666,6 +704,7 @@
     }
 
     fn on_owner_gone(&mut self, owner: OwnerId) {
+        self.line.forget(owner);
         let Some(gone) = self.owners.remove(&owner) else { return };
         for request in gone.open {
             self.abandon(request);
--- a/crates/platform/src/desk/hosts.rs
+++ b/crates/platform/src/desk/hosts.rs
@@ -423,6 +423,13 @@
         }
     }
 
+    /// Attempts that wait for a connection to a host that takes nothing new.
+    pub(super) fn unsent_to_leaving(&self, machine: MachineId) -> Vec<(RequestId, u16)> {
+        let leaving = self.hosts.get(&machine).filter(|h| h.line.state != MachineState::Ready);
+        let links = leaving.into_iter().flat_map(|h| &h.links).filter_map(|l| self.links.get(l));
+        links.flat_map(|l| l.queued.iter().copied()).collect()
+    }
+
     pub(super) fn queued(&mut self, link: LinkId) -> Vec<(RequestId, u16)> {
         self.links.get_mut(&link).map(|l| std::mem::take(&mut l.queued)).unwrap_or_default()
     }
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -58,9 +58,14 @@
         bench
     }
 
+    /// What an input leads to, and the turns of the set-ups that it leaves waiting.
     fn put(&mut self, input: Input) -> Vec<Output> {
         self.now += MS;
-        self.desk.handle(self.now, input)
+        let mut out = self.desk.handle(self.now, input);
+        while self.desk.has_waiting() {
+            out.extend(self.desk.handle(self.now, Input::Turn));
+        }
+        out
     }
 
     fn machine(&self, name: &str) -> MachineId {
@@ -890,6 +895,7 @@
     let now = bench.now;
     let mut put = |at, id| {
         bench.desk.handle(at, Input::Owner(OwnerId(1), set_up(id, "plain")));
+        bench.desk.handle(at, Input::Turn);
         bench.told.borrow().len()
     };
     let tick = Settings::sample().tick;
@@ -899,6 +905,50 @@
     assert_eq!(bench.told.borrow().len(), 3, "what came meanwhile goes in together");
 }
 
+/// Danger: a burst takes long, and all that arrived behind it would be late by that.
+#[test]
+fn set_ups_wait_for_their_turn_and_a_burst_lets_the_others_wait_for_one_of_its_own() {
+    let mut bench = Bench::new();
+    let come = bench.now + S;
+    let mut at = |now: Micros, input| bench.desk.handle(now, input);
+    for (owner, id) in [(1, 1), (1, 2), (1, 3), (2, 4), (3, 5)] {
+        at(come, Input::Owner(OwnerId(owner), set_up(id, "plain")));
+    }
+    assert_eq!(replies(&at(come, Input::Owner(OwnerId(2), Message::new(Kind::Test, 9)))).len(), 1);
+    // The second is given up while it waits, and of the third owner nobody waits any more.
+    at(come, Input::Owner(OwnerId(1), Message::release(2, cause::ORDINARY)));
+    at(come, Input::OwnerGone(OwnerId(3)));
+    assert_eq!((bench.desk.open(), bench.desk.is_waited_for(OwnerId(2))), (3, true));
+    for turn in 1..=3 {
+        bench.desk.handle(come + turn * 100 * MS, Input::Turn);
+    }
+    assert!(!bench.desk.has_waiting());
+    bench.now = come + S;
+    bench.pass(0);
+    let places = bench.told().into_iter().filter_map(|e| match e {
+        Event::Place(request) => Some((request.task.0, request.deadline_in)),
+        _ => None,
+    });
+    // The owner's time runs from when it sent, not from its turn.
+    let left = |turn: u64| WAIT - turn * 100 * MS;
+    assert_eq!(places.collect::<Vec<_>>(), [(1, left(1)), (4, left(2)), (3, left(3))]);
+    bench.pass(2 * WAIT);
+    assert_eq!(bench.desk.open(), 0);
+}
+
+#[test]
+fn what_waits_for_a_connection_to_a_host_that_leaves_is_not_sent() {
+    for state in ["leaving", "left"] {
+        let mut bench = Bench::new();
+        bench.put(Input::Owner(OwnerId(1), set_up(5, "once")));
+        bench.bind(1, "a", None);
+        bench.put(Input::List(vec![event(2, false, &[host("a", 1, state, 0)])]));
+        assert_eq!(bench.ends(), [(1, 0, Outcome::Unreachable, false)], "{state}: it has left nothing");
+        let out = bench.put(Input::LinkUp(LinkId(1)));
+        assert!(!out.iter().any(|o| matches!(o, Output::Send(..))), "{state}: {out:?}");
+    }
+}
+
 /// A module that does anything at all, legal or not, by a random number.
 struct Wild {
     rng: fastrand::Rng,
@@ -1001,6 +1051,7 @@
             let owner = OwnerId(1 + id % 3);
             let link = any(&mut rng, &up);
             let input = match rng.u8(0..12) {
+                _ if desk.has_waiting() && (quiet || rng.u8(0..3) > 0) => Input::Turn,
                 _ if quiet => {
                     now += 300 * MS;
                     Input::Tick(now)
--- a/crates/platform/tests/words.rs
+++ b/crates/platform/tests/words.rs
@@ -143,7 +143,10 @@
     }
 
     fn put(&mut self, input: Input) {
-        let outputs = self.desk.handle(self.now, input);
+        let mut outputs = self.desk.handle(self.now, input);
+        while self.desk.has_waiting() {
+            outputs.extend(self.desk.handle(self.now, Input::Turn));
+        }
         for task in std::mem::take(&mut *self.over.borrow_mut()) {
             let placed = self.present.iter().find(|(id, _)| TaskKey(**id) == task);
             if placed.is_some_and(|(_, n)| self.held[*n].state == State::Standing) {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,5 +8,5 @@
 mod timer;
 
 pub use clock::Clock;
-pub use pipe::{Closed, Outbox, carry};
+pub use pipe::{Budget, Closed, Outbox, carry};
 pub use timer::Timer;
--- a/crates/runtime/src/pipe.rs
+++ b/crates/runtime/src/pipe.rs
@@ -12,11 +12,35 @@
 /// Bytes read at a time.
 const READ: usize = 8 << 10;
 
+/// Memory for what waits on all connections together. One connection may have as much as is left beside it: where few
+/// are busy they use what the others leave, and however many read nothing, there is some for the next.
+#[derive(Debug)]
+pub struct Budget {
+    most: usize,
+    used: Cell<usize>,
+}
+
+impl Budget {
+    /// A budget of so many bytes.
+    pub fn new(most: usize) -> Rc<Budget> {
+        Rc::new(Budget { most, used: Cell::new(0) })
+    }
+
+    /// Bytes that wait now.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    fn left(&self) -> usize {
+        self.most.saturating_sub(self.used.get())
+    }
+}
+
 /// What waits to be written on one connection.
 #[derive(Debug)]
 pub struct Outbox {
     bytes: RefCell<BytesMut>,
-    most: usize,
+    budget: Rc<Budget>,
     written: Cell<u64>,
     ending: Cell<Option<End>>,
     changed: Notify,
@@ -33,35 +57,39 @@
 }
 
 impl Outbox {
-    /// An empty outbox that holds up to `most` bytes.
-    pub fn new(most: usize) -> Outbox {
+    /// An empty outbox within a budget.
+    pub fn new(budget: &Rc<Budget>) -> Outbox {
         let (written, ending) = (Cell::new(0), Cell::new(None));
         let (bytes, stream) = (RefCell::default(), RefCell::default());
-        Outbox { bytes, most, written, ending, changed: Notify::new(), stream }
+        Outbox { bytes, budget: budget.clone(), written, ending, changed: Notify::new(), stream }
     }
 
-    /// Queues a message; false where the peer has left too much unread, and then the connection ends.
+    /// Queues a message, which goes out with the next [`Outbox::write`]; false where the peer has left too much unread,
+    /// and then the connection ends.
     pub fn push(&self, message: &[u8]) -> bool {
         let mut bytes = self.bytes.borrow_mut();
         if self.ending.get().is_some() {
             return false;
         }
-        if bytes.len() + message.len() > self.most {
+        if bytes.len() + message.len() > self.budget.left() {
             self.close();
             return false;
         }
         bytes.extend_from_slice(message);
-        self.changed.notify_one();
+        self.budget.used.set(self.budget.used.get() + message.len());
         true
     }
 
-    /// Writes what the system takes now, without waiting for the turn of [`carry`]; false where something is left. Danger:
-    /// between connections the turns decide what goes out first, and many of them can take long.
+    /// Writes what the system takes now, without waiting for the turn of [`carry`]; false where something is left, which
+    /// [`carry`] writes. Danger: between connections the turns decide what goes out first, and many of them can take long.
     pub fn write(&self) -> bool {
         if let Some(stream) = self.stream.borrow().upgrade() {
             // An error is met again, and told, by the one that carries.
             let _ = self.write_to(&stream);
         }
+        if !self.is_empty() || self.ending.get().is_some() {
+            self.changed.notify_one();
+        }
         self.is_empty()
     }
 
@@ -69,8 +97,14 @@
     fn write_to(&self, stream: &TcpStream) -> io::Result<()> {
         while !self.is_empty() && self.ending.get() != Some(End::Now) {
             let n = stream.try_write(&self.bytes.borrow())?;
-            self.bytes.borrow_mut().advance(n);
+            let mut bytes = self.bytes.borrow_mut();
+            bytes.advance(n);
+            self.budget.used.set(self.budget.used.get() - n);
             self.written.set(self.written.get() + n as u64);
+            if bytes.is_empty() {
+                // A connection on which nothing waits holds no buffer.
+                *bytes = BytesMut::new();
+            }
         }
         Ok(())
     }
@@ -100,6 +134,12 @@
     }
 }
 
+impl Drop for Outbox {
+    fn drop(&mut self) {
+        self.budget.used.set(self.budget.used.get() - self.bytes.get_mut().len());
+    }
+}
+
 /// Why a connection came to its end.
 #[derive(Debug)]
 pub enum Closed {
--- a/crates/runtime/tests/pipe.rs
+++ b/crates/runtime/tests/pipe.rs
@@ -1,6 +1,6 @@
 //! Connections of bytes: what an end of theirs does with what waits to be written.
 
-use peppercove_runtime::{Closed, Outbox, carry};
+use peppercove_runtime::{Budget, Closed, Outbox, carry};
 use std::io::ErrorKind;
 use std::rc::Rc;
 use tokio::io::AsyncReadExt;
@@ -17,7 +17,7 @@
 async fn a_connection_that_is_finished_writes_what_waits_and_one_that_is_closed_does_not() {
     for (finish, wanted) in [(true, &b"the end of a task"[..]), (false, &b""[..])] {
         let (here, mut there) = pair().await;
-        let outbox = Outbox::new(1 << 10);
+        let outbox = Outbox::new(&Budget::new(1 << 10));
         // Queued, and not written yet when the connection is given up for another one.
         assert!(outbox.push(b"the end of a task"));
         if finish {
@@ -38,7 +38,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn what_is_written_at_once_is_out_before_any_other_connection_has_its_turn() {
     let (here, mut there) = pair().await;
-    let outbox = Outbox::new(1 << 24);
+    let outbox = Outbox::new(&Budget::new(1 << 24));
     assert!(outbox.push(b"a set-up"));
     assert!(!outbox.write(), "carried by nobody yet");
     let carried = carry(&here, &outbox, |_| true);
@@ -68,8 +68,26 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_peer_that_reads_nothing_loses_its_connection_at_the_bound() {
     let (here, _there) = pair().await;
-    let outbox = Outbox::new(10);
+    let outbox = Outbox::new(&Budget::new(10));
     assert!(outbox.push(b"ten bytes!"));
     assert!(!outbox.push(b"x"), "past the bound");
     assert!(matches!(carry(&here, &outbox, |_| true).await, Closed::Here));
 }
+
+#[test]
+fn a_busy_connection_uses_what_idle_ones_leave_and_slow_ones_leave_some_for_the_next() {
+    let budget = Budget::new(1 << 20);
+    let busy = Outbox::new(&budget);
+    for _ in 0..30 {
+        assert!(busy.push(&[0; 16 << 10]), "far more than a thousandth of what there is");
+    }
+    let slow: Vec<Outbox> = (0..100).map(|_| Outbox::new(&budget)).collect();
+    for outbox in &slow {
+        while outbox.push(&[0; 100]) {}
+    }
+    assert!(budget.used() <= 1 << 20);
+    drop(busy);
+    assert!(Outbox::new(&budget).push(&[0; 16 << 10]), "what a connection held is free after it");
+    drop(slow);
+    assert_eq!(budget.used(), 0);
+}
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection, of an owner or to a host, as the shell holds it.
 
 use peppercove::Micros;
-use peppercove_runtime::Outbox;
+use peppercove_runtime::{Budget, Outbox};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -17,9 +17,9 @@
 }
 
 impl Connection {
-    pub(crate) fn new(since: Micros, unread: usize) -> Rc<Connection> {
+    pub(crate) fn new(since: Micros, budget: &Rc<Budget>) -> Rc<Connection> {
         let (heard_at, half_since) = (Cell::new(None), Cell::new(None));
-        Rc::new(Connection { outbox: Outbox::new(unread), since, heard_at, half_since })
+        Rc::new(Connection { outbox: Outbox::new(budget), since, heard_at, half_since })
     }
 
     /// Writes to a host. Danger: left to its connection's turn, a set-up reached its host after the final answer to its
@@ -53,7 +53,7 @@
 #[cfg(test)]
 mod tests {
     use super::Connection;
-    use peppercove_runtime::{Closed, carry};
+    use peppercove_runtime::{Budget, Closed, carry};
     use std::rc::Rc;
     use tokio::net::{TcpListener, TcpStream};
 
@@ -63,7 +63,7 @@
         let address = listener.local_addr().expect("bound");
         let (here, there) = tokio::join!(TcpStream::connect(address), listener.accept());
         let (here, _there) = (Rc::new(here.expect("connected")), there.expect("accepted"));
-        let connection = Connection::new(0, 1 << 24);
+        let connection = Connection::new(0, &Budget::new(1 << 24));
         let carried = carry(&here, &connection.outbox, |_| true);
         let acts = async {
             tokio::task::yield_now().await;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -94,6 +94,7 @@
     let address = listener.local_addr().map_err(listen)?;
     spawn_local(feed::keep(shell.clone()));
     spawn_local(shell::keep_time(shell.clone()));
+    spawn_local(shell::take_turns(shell.clone()));
     spawn_local(shell::sweep(shell.clone()));
     spawn_local(owners::accept(shell.clone(), listener));
     tracing::info!(%address, "serving");
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -4,9 +4,9 @@
 use peppercove::{Micros, Scheduler};
 use peppercove_platform::config::Config;
 use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
-use peppercove_runtime::{Clock, Timer};
+use peppercove_runtime::{Budget, Clock, Timer};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -27,6 +27,12 @@
     pub(crate) clock: Clock,
     timer: Timer,
     bounds: Bounds,
+    /// What may wait for readers.
+    budget: Rc<Budget>,
+    /// A set-up waits for its turn.
+    waiting: Notify,
+    /// How long set-ups have their turns before what arrived meanwhile is looked at.
+    slice: Duration,
     pub(crate) dial_timeout: Duration,
     /// The list comes by itself, without a call of the module.
     pub(crate) pushed: bool,
@@ -51,6 +57,7 @@
     pub(crate) fn new(config: Config, dial: Dial) -> Shell {
         let bounds = Bounds::of(&config);
         let dial_timeout = Duration::from_micros(config.dial_timeout());
+        let slice = Duration::from_micros(config.settings.tick.max(1));
         let pushed = !config.settings.list_on_request;
         let module = Scheduler::new(config.settings.clone(), config.seed);
         let desk = Desk::new(module, config.settings, config.shape, bounds, config.seed);
@@ -59,6 +66,9 @@
             clock: Clock::start(),
             timer: Timer::default(),
             bounds,
+            budget: Budget::new(bounds.unread),
+            waiting: Notify::new(),
+            slice,
             dial_timeout,
             pushed,
             journal: Cell::new(config.journal),
@@ -83,9 +93,23 @@
     /// Hands an input to the desk and carries its outputs out.
     pub(crate) fn input(&self, input: Input) {
         let outputs = self.desk.borrow_mut().handle(self.clock.now(), input);
+        let mut told = BTreeSet::new();
         for output in outputs {
+            if let Output::Reply(owner, _) = &output {
+                told.insert(*owner);
+            }
             self.carry_out(output);
         }
+        // Danger: left to its connection's turn, an answer waits behind all that is read meanwhile. What goes to hosts is
+        // out by now.
+        for owner in told {
+            if let Some(connection) = self.owners.borrow().get(&owner) {
+                connection.outbox.write();
+            }
+        }
+        if self.desk.borrow().has_waiting() {
+            self.waiting.notify_one();
+        }
         self.timer.changed(self.desk.borrow().next_wake());
     }
 
@@ -109,7 +133,7 @@
             }
             Output::Dial(link, address) => {
                 let Some(shell) = self.me.upgrade() else { return };
-                let connection = Connection::new(self.clock.now(), self.bounds.unread);
+                let connection = Connection::new(self.clock.now(), &self.budget);
                 self.links.borrow_mut().insert(link, connection.clone());
                 (self.dial)(shell, link, address, connection);
             }
@@ -134,7 +158,7 @@
         }
         let id = OwnerId(self.next_owner.get());
         self.next_owner.set(id.0 + 1);
-        let connection = Connection::new(self.clock.now(), self.bounds.unread);
+        let connection = Connection::new(self.clock.now(), &self.budget);
         self.owners.borrow_mut().insert(id, connection.clone());
         self.count_owners();
         Some((id, connection))
@@ -200,10 +224,15 @@
                 connection.outbox.close();
             }
         }
-        for connection in self.owners.borrow().values() {
+        let desk = self.desk.borrow();
+        for (owner, connection) in self.owners.borrow().iter() {
+            let half = connection.half_since.get();
             let silent = connection.heard_at.get().is_none() && late(Some(connection.since), SILENT);
-            if silent || late(connection.half_since.get(), HALF_A_MESSAGE) {
+            if silent || late(half, HALF_A_MESSAGE * 2) && !desk.is_waited_for(*owner) {
                 connection.outbox.close();
+            } else if late(half, HALF_A_MESSAGE) && !desk.is_waited_for(*owner) {
+                // Danger: what it asked before is owed an answer, whatever it begins and does not end.
+                connection.outbox.finish();
             }
         }
     }
@@ -222,6 +251,22 @@
     shell.timer.keep(&shell.clock, next, |at| shell.input(Input::Tick(at))).await;
 }
 
+/// Gives the set-ups that wait their turns, for a slice of time, and lets all that arrived meanwhile come first then.
+pub(crate) async fn take_turns(shell: Rc<Shell>) {
+    loop {
+        shell.waiting.notified().await;
+        let until = shell.clock.now() + u64::try_from(shell.slice.as_micros()).unwrap_or(0);
+        loop {
+            shell.input(Input::Turn);
+            if shell.clock.now() >= until || !shell.desk.borrow().has_waiting() {
+                break;
+            }
+        }
+        // The runtime looks for what has arrived before this goes on.
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Looks connections over again and again.
 pub(crate) async fn sweep(shell: Rc<Shell>) {
     loop {
