Offers to a cold node that was gone for an instant are still counted

Line at fault: the retain behind a list in src/choice.rs dropped a machine that was gone without a program, with the offers that cold_allows counts; the same life was named again 15 ms later.

A machine that is gone is kept while an offer to it lies within the window.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -171,9 +171,14 @@
         for line in lines {
             self.on_line(line);
         }
-        // Bounded state: a machine that left is forgotten with its last task.
-        self.machines
-            .retain(|_, m| m.line.state != MachineState::Gone || m.programs.values().any(|p| p.0 > 0));
+        // Bounded state: a machine that left is forgotten with its last task. Danger: one that was gone for
+        // an instant comes back cold, and the offers that it got are still to be counted.
+        let (now, window) = (self.now, self.cold_window());
+        let kept = |m: &Machine| {
+            let offered = m.offers.back().is_some_and(|at| at + window > now);
+            m.line.state != MachineState::Gone || offered || m.programs.values().any(|p| p.0 > 0)
+        };
+        self.machines.retain(|_, m| kept(m));
         self.others = Mean::of(self.machines.values().filter_map(|m| m.others));
     }
 
@@ -415,15 +420,7 @@
 
     /// Danger: a bind that crowds a service into one place; everything without an end counts.
     fn spread_allows(&self, m: &Machine, class: &Class, counts: &Counts) -> bool {
-        class.spread == Spread::Off || counts.at(Scheduler::place(m, class.spread)) < class.most
-    }
-
-    fn place(m: &Machine, spread: Spread) -> u64 {
-        match spread {
-            Spread::Machine | Spread::Off => m.line.machine.0,
-            Spread::Rack => u64::from(m.line.zone) << 16 | u64::from(m.line.rack),
-            Spread::Zone => u64::from(m.line.zone),
-        }
+        class.spread == Spread::Off || counts.at(m.place(class.spread)) < class.most
     }
 
     /// The tasks of a task's service by place. One handed over on a machine that no list names may stand
@@ -432,7 +429,7 @@
         let spread = self.settings.classes[usize::from(task.ask.class)].spread;
         let held = self.services.get(&task.ask.service).filter(|_| spread != Spread::Off);
         let held = held.into_iter().flatten().filter_map(|(id, n)| Some((self.machines.get(id)?, *n)));
-        Counts::of(held.map(|(m, n)| (m.listed.then(|| Scheduler::place(m, spread)), n)))
+        Counts::of(held.map(|(m, n)| (m.listed.then(|| m.place(spread)), n)))
     }
 
     /// Danger: all schedulers together push a fresh machine over. The offers that it always bears are split
@@ -442,7 +439,7 @@
         if !self.is_cold(m) {
             return true;
         }
-        let window = self.settings.fall_window + self.settings.fall_window / 4;
+        let window = self.cold_window();
         // What an earlier life of this scheduler sent within the window is not known.
         if self.born.is_some_and(|born| self.now < born + window) && m.line.started_at > 0 {
             return false;
@@ -456,6 +453,10 @@
         (recent as u64) < share
     }
 
+    fn cold_window(&self) -> Micros {
+        self.settings.fall_window + self.settings.fall_window / 4
+    }
+
     fn is_cold(&self, m: &Machine) -> bool {
         let warm_at = m.line.started_at + self.settings.warm_within + self.settings.warm_within / 8;
         m.line.started_at > 0 && self.now < warm_at
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// The place that it is part of.
+    pub(crate) fn place(&self, spread: Spread) -> u64 {
+        match spread {
+            Spread::Machine | Spread::Off => self.line.machine.0,
+            Spread::Rack => u64::from(self.line.zone) << 16 | u64::from(self.line.rack),
+            Spread::Zone => u64::from(self.line.zone),
+        }
+    }
+
     pub(crate) fn holds_program(&self, service: ServiceId) -> bool {
         self.programs.contains_key(&service)
     }
