--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -157,6 +157,14 @@
             10 => self.replaced(1).await,
             // The first host has been silent for longer than its tasks may stand unheard of.
             11 => self.at(0, |r| r.set(Mode::Open)),
+            // Every controller is asked hundreds of times at once by one owner.
+            12 => {
+                for (c, seat) in self.seats.iter().enumerate() {
+                    let first = 1 << 53 | (c as u64) << 16;
+                    let address = seat.process.as_ref().expect("there").address;
+                    seat.owners.burst(address, first..first + 300).await;
+                }
+            }
             _ => {}
         }
     }
--- a/crates/cli/tests/fleet/owner.rs
+++ b/crates/cli/tests/fleet/owner.rs
@@ -120,6 +120,22 @@
         self.send(set_up(id, id, class, service, ""));
     }
 
+    /// Asks hundreds of times at once over a connection of its own, and gives every second one up in the same breath.
+    pub async fn burst(&self, controller: SocketAddr, ids: std::ops::Range<u64>) {
+        let earlier = self.inner.borrow().out.clone();
+        self.connect(controller).await;
+        for id in ids.clone() {
+            self.ask(id, "any", id % 12);
+        }
+        for id in ids.step_by(2) {
+            self.send(Message::release(id, cause::ORDINARY));
+            if let Some(ask) = self.inner.borrow_mut().asks.get_mut(&id) {
+                (ask.void, ask.ended) = (true, true);
+            }
+        }
+        self.inner.borrow_mut().out = earlier;
+    }
+
     /// Ends up to `most` of the tasks that stand.
     pub fn ends(&self, most: usize) {
         let mut inner = self.inner.borrow_mut();
