A loop that was late answers earlier by as much; lists are read in large parts

What is read in one turn of all connections delays the clock by as much, and an attempt's last patience ended at the deadline itself (Desk::bind). The most that an alarm was late within the longest deadline is now kept free before each deadline, half of the owner's time at the most; a loop in time keeps nothing free.

Lists were read in parts that begin at 64 bytes; on that share a change of 300 hosts took many turns.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -5,6 +5,7 @@
 //! are facts of connections, attempts and tasks, and every answer that is not a bound's or a reader's is the module's.
 
 mod hosts;
+mod late;
 mod line;
 mod read;
 mod words;
@@ -14,6 +15,7 @@
 use crate::wire::{Kind, Message, cause, code};
 use bytes::Bytes;
 use hosts::Hosts;
+use late::Late;
 use line::Line;
 use peppercove::wire::Shape;
 use peppercove::{
@@ -241,6 +243,7 @@
     former: Option<u64>,
     task: TaskKey,
     owner: OwnerId,
+    came: Micros,
     deadline: Micros,
     life: Life,
     placed_at: Micros,
@@ -306,6 +309,7 @@
     untold: VecDeque<(Micros, Bytes)>,
     hosts: Hosts,
     alarms: Alarms<Alarm>,
+    late: Late,
     next_request: u64,
     open: usize,
     counters: Counters,
@@ -315,7 +319,9 @@
 impl<D: Decide> Desk<D> {
     /// A desk that has just started.
     pub fn new(module: D, settings: Settings, shape: Shape, bounds: Bounds, seed: u64) -> Desk<D> {
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Desk {
+            late: Late::new(longest),
             module,
             settings,
             shape,
@@ -364,6 +370,7 @@
             Input::Host(link, message) => self.on_host(link, &message),
             Input::LinkDown(link, how) => self.on_link_down(link, how),
             Input::Tick(until) => {
+                self.late.seen(self.now, until);
                 while let Some(alarm) = self.alarms.due(until.min(self.now)) {
                     self.on_alarm(alarm);
                 }
@@ -617,7 +624,7 @@
         self.counters.taken += 1;
         // Its owner counts from when it sent it, and it has waited here since it came.
         let deadline = came.saturating_add(request.deadline_in);
-        request.deadline_in = deadline.saturating_sub(self.now);
+        request.deadline_in = self.answer_by(came, deadline).saturating_sub(self.now);
         // The owner gives up by itself; this is for one that is cut off.
         self.alarms.set(
             deadline.saturating_add(self.settings.answer_slack + self.bounds.test_every),
@@ -629,6 +636,7 @@
             former: None,
             task: request.task,
             owner: from,
+            came,
             deadline,
             life: Life::Waiting,
             placed_at: 0,
@@ -642,6 +650,12 @@
         self.tell_untold(from);
     }
 
+    /// When the last word on a set-up has to be decided. Danger: where the loop is late, an answer that waits for the
+    /// deadline comes after it by as much. Half of its time at the least is left to be placed in.
+    fn answer_by(&self, came: Micros, deadline: Micros) -> Micros {
+        deadline - self.late.most().min(deadline.saturating_sub(came) / 2)
+    }
+
     /// A task that a host holds already is this controller's from now on.
     fn stand(&mut self, from: OwnerId, wire: u64, request: peppercove::Request, machine: MachineId) {
         let id = request.request;
@@ -654,6 +668,7 @@
             former: None,
             task,
             owner: from,
+            came: self.now,
             deadline: self.now,
             life: Life::Placed(0),
             placed_at: self.now,
@@ -761,9 +776,11 @@
     // ---- Attempts ----
 
     fn bind(&mut self, request: RequestId, machine: MachineId, timeout: Option<Micros>) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let answer_by = self.answer_by(ask.came, ask.deadline);
         let Some(ask) = self.asks.get_mut(&request) else { return };
         let attempt = ask.tries.len() as u16;
-        let expires = timeout.map_or(ask.deadline, |t| self.now.saturating_add(t).min(ask.deadline));
+        let expires = timeout.map_or(answer_by, |t| self.now.saturating_add(t).min(answer_by));
         let over = !ask.life.is_open();
         let possible = ask.life == Life::Waiting
             && ask.tries.len() < self.settings.max_attempts as usize
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -936,6 +936,28 @@
     assert_eq!(bench.desk.open(), 0);
 }
 
+/// Danger: a loop that is late by half a second would answer half a second after the deadline, and later.
+#[test]
+fn a_loop_that_was_late_answers_earlier_by_as_much() {
+    for (late, reserve) in [(0, 0), (300 * MS, 300 * MS), (100 * S, WAIT / 2)] {
+        let mut bench = Bench::new();
+        bench.now += 100 * S;
+        bench.desk.handle(bench.now, Input::Tick(bench.now - late));
+        bench.offered(5, "once", None);
+        let place = |e: Event| matches!(e, Event::Place(_)).then_some(e);
+        let [Event::Place(request)] = &bench.told().into_iter().filter_map(place).collect::<Vec<_>>()[..]
+        else {
+            panic!("one set-up");
+        };
+        assert_eq!(request.deadline_in, WAIT - reserve);
+        assert_eq!(bench.ends(), []);
+        bench.pass(WAIT - reserve - 10 * MS);
+        assert_eq!(bench.ends(), []);
+        bench.pass(20 * MS);
+        assert_eq!(bench.ends(), [(1, 0, Outcome::TimedOut, false)], "{late} us late");
+    }
+}
+
 #[test]
 fn what_waits_for_a_connection_to_a_host_that_leaves_is_not_sent() {
     for state in ["leaving", "left"] {
--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -14,6 +14,9 @@
 /// A number comes every second; without one for this long the service is silent.
 const SILENT: Duration = Duration::from_millis(2200);
 
+/// Bytes read at a time: a change of some hundreds of hosts.
+const AT_ONCE: usize = 64 << 10;
+
 /// Why following came to its end.
 #[derive(Debug, thiserror::Error)]
 enum End {
@@ -80,6 +83,8 @@
     let mut buffer = BytesMut::new();
     let mut answered = false;
     loop {
+        // Danger: read in small parts, a list of hundreds of hosts waits for one turn of all connections after the other.
+        buffer.reserve(AT_ONCE);
         tokio::select! {
             read = timeout(SILENT, stream.read_buf(&mut buffer)) => match read {
                 Ok(Ok(0)) => return End::Closed,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,6 +54,8 @@
     held: BTreeSet<(Micros, RequestId)>,
     others: Mean,
     services: Table<ServiceId, Table<MachineId, u32>>,
+    /// Machines that owe a word on an offer, and some that did.
+    awaited: BTreeSet<MachineId>,
     use_ratio: [f64; 2],
     start_times: Vec<[f64; 2]>,
     homes: Vec<f64>,
@@ -87,6 +89,7 @@
             held: BTreeSet::new(),
             others: Mean::default(),
             services: Table::new(),
+            awaited: BTreeSet::new(),
             room_news: false,
             next_try: 0,
             wake: Micros::MAX,
@@ -173,12 +176,11 @@
         }
         // Bounded state: a machine that left is forgotten with its last task. Danger: one that was gone for
         // an instant comes back cold, and the offers that it got are still to be counted.
-        let (now, window) = (self.now, self.cold_window());
-        let kept = |m: &Machine| {
-            let offered = m.offers.back().is_some_and(|at| at + window > now);
+        let since = self.now.saturating_sub(self.cold_window());
+        self.machines.retain(|_, m| {
+            let offered = m.offers.back().is_some_and(|at| *at > since);
             m.line.state != MachineState::Gone || offered || m.programs.values().any(|p| p.0 > 0)
-        };
-        self.machines.retain(|_, m| kept(m));
+        });
         self.others = Mean::of(self.machines.values().filter_map(|m| m.others));
     }
 
@@ -307,8 +309,7 @@
         let waiting = std::mem::take(&mut self.held).into_iter().filter(|(_, r)| self.is_held(*r));
         let mut ranked: Vec<(f64, RequestId)> = waiting.map(|(_, r)| (self.value(r), r)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        self.room_news = false;
-        self.next_try = self.now + self.shortest_aim() / 32;
+        (self.room_news, self.next_try) = (false, self.now + self.shortest_aim() / 32);
         let open = self.open_to(&ranked);
         for (_, request) in ranked {
             if !self.try_place(request, Some(&open)) {
@@ -590,6 +591,7 @@
         if starting {
             m.starting.insert(ask.request, (now, estimate));
             m.unanswered.insert(ask.request, now);
+            self.awaited.insert(machine);
         }
         *self.services.entry(ask.service).or_default().entry(machine).or_insert(0) += 1;
         let (rack, zone) = (m.line.rack, m.line.zone);
@@ -969,8 +971,10 @@
             };
             (m.heard_at.max(first) as f64 + wait < self.now as f64).then_some(m.line.machine)
         };
-        let silent: Vec<MachineId> = self.machines.values().filter_map(overdue).collect();
-        for machine in silent {
+        let machines = &self.machines;
+        self.awaited.retain(|id| machines.get(id).is_some_and(|m| !m.unanswered.is_empty()));
+        let silent = self.awaited.iter().filter_map(|id| overdue(machines.get(id)?));
+        for machine in silent.collect::<Vec<MachineId>>() {
             self.on_silent(machine);
         }
         if self.settings.probes {
