--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -155,7 +155,8 @@
         Bounds {
             open,
             open_each: (open / 4).clamp(16, 256),
-            standing: open * 8,
+            // A KiB each, in an eighth of the memory. Danger: the end of one beyond that is told by nobody.
+            standing: ((config.limits.memory_mb as usize).saturating_mul(1024) / 8).max(1024),
             links: 1,
             connections,
             all_links: Bounds::links(connections, owners, 0),
@@ -914,7 +915,8 @@
         let other = || self.owners.iter().rev().find(|(_, o)| o.usual).map(|(id, _)| *id);
         let Some(to) = own.or_else(other) else {
             self.untold.push_back((self.now.saturating_add(self.bounds.keep_ends), frame));
-            while self.untold.len() > self.bounds.open {
+            // Each is the end of a task that stood. Danger: one that is dropped is never told.
+            while self.untold.len() > self.bounds.standing {
                 self.untold.pop_front();
             }
             return;
