--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -375,3 +375,34 @@
     let wanted: Vec<Message> = (1..=HOSTS).map(|id| Message::release(id, cause::ORDINARY)).collect();
     assert_eq!(ends, wanted);
 }
+
+/// Danger: what one owner sends at once would keep the others, hosts' words and the clock waiting for as long as it takes.
+#[test]
+fn behind_a_burst_of_one_owner_the_next_owner_waits_for_one_set_up_of_it() {
+    const BURST: u64 = 60;
+    let (journal, host) = (Place::new(), Place::new());
+    let hosts = [server("a", host.address(), "active")];
+    let controllers: Vec<Controller> =
+        (0..3).map(|_| Controller::start(journal.address(), &hosts, 256)).collect();
+    let mut owners = Vec::new();
+    for (c, controller) in (1u64..).zip(&controllers) {
+        let mut two = [Peer::connect(controller.address), Peer::connect(controller.address)];
+        for owner in &mut two {
+            owner.send(&Message::new(Kind::Test, 77).with(code::CAUSE, &[0]));
+            owner.hear();
+        }
+        // Stopped while both send, it finds the burst and the other set-up at once.
+        controller.signal("-STOP");
+        let [first, second] = &mut two;
+        let burst: Vec<u8> = (0..BURST).flat_map(|n| set_up(c << 16 | n, "any").encode()).collect();
+        first.stream.write_all(&burst).expect("sent");
+        second.send(&set_up(c << 16 | BURST, "any"));
+        controller.signal("-CONT");
+        owners.push(two);
+    }
+    for _ in &controllers {
+        let mut at_host = host.peer();
+        let place = (0..=BURST).position(|_| at_host.hear().id & 0xffff == BURST);
+        assert!(place.is_some_and(|p| p < 4), "{place:?} set-ups went before it");
+    }
+}
