--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -284,6 +284,7 @@
     Module(u64),
     Try(RequestId, u16),
     Deadline(RequestId),
+    Line(OwnerId, u64),
     Doubt(RequestId, LinkId, u64),
     Watch(MachineId),
     Redial(MachineId),
@@ -487,6 +488,11 @@
                     self.abandon(request);
                 }
             }
+            Alarm::Line(owner, number) => {
+                if let Some((came, message)) = self.line.take(owner, number) {
+                    self.on_set_up(owner, came, &message);
+                }
+            }
             Alarm::Doubt(request, link, test) => {
                 // Not of a doubt that was cleared: a later one has its own time.
                 if self.in_doubt(request, link, test) {
@@ -556,7 +562,12 @@
             Kind::SetUp if read::names_host(&message) || self.is_full(from) => {
                 self.on_set_up(from, self.now, &message);
             }
-            Kind::SetUp => self.line.push(from, self.now, message),
+            Kind::SetUp => {
+                let deadline = self.now.saturating_add(read::wait(&message).unwrap_or(0));
+                let number = self.line.push(from, self.now, message);
+                // Danger: where little of a core is left, the line may be longer than its owner waits.
+                self.alarms.set(self.answer_by(self.now, deadline), Alarm::Line(from, number));
+            }
             Kind::Test => {
                 let passed = Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]);
                 self.out.push(Output::Reply(from, passed.encode()));
--- a/crates/platform/src/desk/line.rs
+++ b/crates/platform/src/desk/line.rs
@@ -8,28 +8,50 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Line {
-    lines: BTreeMap<OwnerId, VecDeque<(Micros, Message)>>,
+    lines: BTreeMap<OwnerId, VecDeque<Waiting>>,
     /// Connections with something in line, the next one first.
     turns: VecDeque<OwnerId>,
     len: usize,
+    pushed: u64,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    number: u64,
+    came: Micros,
+    message: Message,
 }
 
 impl Line {
-    /// A set-up came at this time.
-    pub(super) fn push(&mut self, owner: OwnerId, came: Micros, message: Message) {
+    /// A set-up came at this time; returns its number.
+    pub(super) fn push(&mut self, owner: OwnerId, came: Micros, message: Message) -> u64 {
         let line = self.lines.entry(owner).or_default();
         if line.is_empty() {
             self.turns.push_back(owner);
         }
-        line.push_back((came, message));
+        self.pushed += 1;
+        line.push_back(Waiting { number: self.pushed, came, message });
         self.len += 1;
+        self.pushed
+    }
+
+    /// Takes out the one of this number, whoever's turn it is.
+    pub(super) fn take(&mut self, owner: OwnerId, number: u64) -> Option<(Micros, Message)> {
+        let line = self.lines.get_mut(&owner)?;
+        let at = line.iter().position(|w| w.number == number)?;
+        let taken = line.remove(at)?;
+        self.len -= 1;
+        if line.is_empty() {
+            self.forget(owner);
+        }
+        Some((taken.came, taken.message))
     }
 
     /// The one whose turn it is.
     pub(super) fn next(&mut self) -> Option<(OwnerId, Micros, Message)> {
         let owner = self.turns.pop_front()?;
         let line = self.lines.get_mut(&owner)?;
-        let (came, message) = line.pop_front()?;
+        let Waiting { came, message, .. } = line.pop_front()?;
         self.len -= 1;
         match line.is_empty() {
             true => drop(self.lines.remove(&owner)),
@@ -42,7 +64,7 @@
     pub(super) fn give_up(&mut self, owner: OwnerId, id: u64) -> bool {
         let Some(line) = self.lines.get_mut(&owner) else { return false };
         let before = line.len();
-        line.retain(|(_, m)| m.id != id);
+        line.retain(|w| w.message.id != id);
         let given_up = before - line.len();
         self.len -= given_up;
         if line.is_empty() {
@@ -60,7 +82,7 @@
     }
 
     pub(super) fn holds(&self, owner: OwnerId, id: u64) -> bool {
-        self.lines.get(&owner).is_some_and(|l| l.iter().any(|(_, m)| m.id == id))
+        self.lines.get(&owner).is_some_and(|l| l.iter().any(|w| w.message.id == id))
     }
 
     /// How many of one connection wait.
--- a/crates/platform/src/desk/read.rs
+++ b/crates/platform/src/desk/read.rs
@@ -3,7 +3,7 @@
 use super::Body;
 use crate::wire::{Message, code};
 use peppercove::wire::{Shape, report_value};
-use peppercove::{Load, Note, Repeat, Request, RequestId, ServiceId, Settings, TaskKey, Why};
+use peppercove::{Load, Micros, Note, Repeat, Request, RequestId, ServiceId, Settings, TaskKey, Why};
 
 /// Why a set-up cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +49,11 @@
     figures(message).is_some_and(|f| f.at.is_some())
 }
 
+/// How long its owner waits.
+pub(super) fn wait(message: &Message) -> Option<Micros> {
+    message.text(code::WAIT)?.parse::<u64>().ok().map(|ms| ms.saturating_mul(1000))
+}
+
 /// Names are hexadecimal here; any other text names something just as well.
 fn number(name: &str) -> u64 {
     match u64::from_str_radix(name, 16) {
@@ -87,8 +92,8 @@
         return Err(Unusable::Host);
     }
     let service = figures.service.filter(|s| !s.is_empty()).ok_or(Unusable::Figures)?;
-    let wait = match (message.text(code::WAIT).map(str::parse::<u64>), figures.at) {
-        (Some(Ok(ms)), _) => ms.saturating_mul(1000),
+    let wait = match (wait(message), figures.at) {
+        (Some(wait), _) => wait,
         (_, Some(_)) => 0,
         _ => return Err(Unusable::Wait),
     };
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -936,6 +936,27 @@
     assert_eq!(bench.desk.open(), 0);
 }
 
+/// Danger: where turns come slower than set-ups, the last in line would hear nothing in its time.
+#[test]
+fn a_set_up_whose_time_is_up_in_line_goes_to_the_module_out_of_turn() {
+    let mut bench = Bench::new();
+    for id in [1, 2, 3] {
+        bench.desk.handle(bench.now, Input::Owner(OwnerId(1), set_up(id, "plain")));
+    }
+    bench.desk.handle(bench.now, Input::Turn);
+    bench.pass(WAIT - MS);
+    assert_eq!(bench.told().len(), 1, "no turn came");
+    bench.wanted.borrow_mut().push(Action::Refuse { request: RequestId(2), retry_after: None });
+    let out = bench.pass(2 * MS);
+    let places = bench.told().into_iter().filter_map(|e| match e {
+        Event::Place(request) => Some((request.task.0, request.deadline_in)),
+        _ => None,
+    });
+    assert_eq!(places.collect::<Vec<_>>(), [(2, 0), (3, 0)]);
+    assert_eq!(replies(&out), [(1, Message::release(2, cause::TURNED_AWAY))]);
+    assert!(!bench.desk.has_waiting());
+}
+
 /// Danger: a loop that is late by half a second would answer half a second after the deadline, and later.
 #[test]
 fn a_loop_that_was_late_answers_earlier_by_as_much() {
