--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -406,3 +406,19 @@
         assert!(place.is_some_and(|p| p < 4), "{place:?} set-ups went before it");
     }
 }
+
+/// Danger: a connection that is closed for half a message takes the answers with it that are owed on it.
+#[test]
+fn an_owner_that_leaves_a_message_unfinished_gets_what_it_asked_for_before_and_is_closed_then() {
+    let (_journal, host, controller) = cluster(256);
+    let mut owner = Peer::connect(controller.address);
+    owner.send(&set_up(5, "one"));
+    owner.stream.write_all(&set_up(6, "any").encode()[..20]).expect("sent");
+    let mut at_host = host.peer();
+    assert_eq!(at_host.hear().id, 5);
+    // Longer than a message may take, and than a connection that owes nothing would be kept.
+    std::thread::sleep(Duration::from_millis(2500));
+    at_host.answer(5, b"there");
+    assert_eq!(owner.hear(), Message::new(Kind::Answer, 5).with(code::DESCRIPTION, b"there"));
+    assert_eq!(owner.next(), None, "nothing is owed any more");
+}
