What waits in line is kept by when it must be answered, and leaves nothing behind

One alarm a set-up in line would stay until its owner's time: a client that sends what cannot be used at full speed, with waits of hours, would leave that many. The line keeps its own ends, removed with each one that leaves it.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -284,7 +284,6 @@
     Module(u64),
     Try(RequestId, u16),
     Deadline(RequestId),
-    Line(OwnerId, u64),
     Doubt(RequestId, LinkId, u64),
     Watch(MachineId),
     Redial(MachineId),
@@ -373,9 +372,14 @@
             Input::LinkDown(link, how) => self.on_link_down(link, how),
             Input::Tick(until) => {
                 self.late.seen(self.now, until);
-                while let Some(alarm) = self.alarms.due(until.min(self.now)) {
+                let until = until.min(self.now);
+                while let Some(alarm) = self.alarms.due(until) {
                     self.on_alarm(alarm);
                 }
+                // Danger: where little of a core is left, the line may be longer than its owners wait.
+                while let Some((owner, came, message)) = self.line.due(until) {
+                    self.on_set_up(owner, came, &message);
+                }
             }
         }
         self.consult();
@@ -385,7 +389,7 @@
     /// When it wants to be called at the latest.
     pub fn next_wake(&self) -> Option<Micros> {
         let batch = (!self.events.is_empty()).then(|| self.next_batch());
-        [self.alarms.next(), batch].into_iter().flatten().min()
+        [self.alarms.next(), self.line.next_end(), batch].into_iter().flatten().min()
     }
 
     /// What happened so far.
@@ -488,11 +492,6 @@
                     self.abandon(request);
                 }
             }
-            Alarm::Line(owner, number) => {
-                if let Some((came, message)) = self.line.take(owner, number) {
-                    self.on_set_up(owner, came, &message);
-                }
-            }
             Alarm::Doubt(request, link, test) => {
                 // Not of a doubt that was cleared: a later one has its own time.
                 if self.in_doubt(request, link, test) {
@@ -564,9 +563,7 @@
             }
             Kind::SetUp => {
                 let deadline = self.now.saturating_add(read::wait(&message).unwrap_or(0));
-                let number = self.line.push(from, self.now, message);
-                // Danger: where little of a core is left, the line may be longer than its owner waits.
-                self.alarms.set(self.answer_by(self.now, deadline), Alarm::Line(from, number));
+                self.line.push(from, self.now, self.answer_by(self.now, deadline), message);
             }
             Kind::Test => {
                 let passed = Message::new(Kind::Tested, message.id).with(code::CAUSE, &[1]);
--- a/crates/platform/src/desk/line.rs
+++ b/crates/platform/src/desk/line.rs
@@ -11,48 +11,37 @@
     lines: BTreeMap<OwnerId, VecDeque<Waiting>>,
     /// Connections with something in line, the next one first.
     turns: VecDeque<OwnerId>,
-    len: usize,
+    /// All that waits, by when it has to be answered and its number.
+    ends: BTreeMap<(Micros, u64), OwnerId>,
     pushed: u64,
 }
 
 #[derive(Debug)]
 struct Waiting {
-    number: u64,
+    end: (Micros, u64),
     came: Micros,
     message: Message,
 }
 
 impl Line {
-    /// A set-up came at this time; returns its number.
-    pub(super) fn push(&mut self, owner: OwnerId, came: Micros, message: Message) -> u64 {
+    /// A set-up came, and is to be answered by the end.
+    pub(super) fn push(&mut self, owner: OwnerId, came: Micros, end: Micros, message: Message) {
         let line = self.lines.entry(owner).or_default();
         if line.is_empty() {
             self.turns.push_back(owner);
         }
         self.pushed += 1;
-        line.push_back(Waiting { number: self.pushed, came, message });
-        self.len += 1;
-        self.pushed
-    }
-
-    /// Takes out the one of this number, whoever's turn it is.
-    pub(super) fn take(&mut self, owner: OwnerId, number: u64) -> Option<(Micros, Message)> {
-        let line = self.lines.get_mut(&owner)?;
-        let at = line.iter().position(|w| w.number == number)?;
-        let taken = line.remove(at)?;
-        self.len -= 1;
-        if line.is_empty() {
-            self.forget(owner);
-        }
-        Some((taken.came, taken.message))
+        let end = (end, self.pushed);
+        line.push_back(Waiting { end, came, message });
+        self.ends.insert(end, owner);
     }
 
     /// The one whose turn it is.
     pub(super) fn next(&mut self) -> Option<(OwnerId, Micros, Message)> {
         let owner = self.turns.pop_front()?;
         let line = self.lines.get_mut(&owner)?;
-        let Waiting { came, message, .. } = line.pop_front()?;
-        self.len -= 1;
+        let Waiting { end, came, message } = line.pop_front()?;
+        self.ends.remove(&end);
         match line.is_empty() {
             true => drop(self.lines.remove(&owner)),
             false => self.turns.push_back(owner),
@@ -60,25 +49,41 @@
         Some((owner, came, message))
     }
 
+    /// One that has to be answered by now, whoever's turn it is.
+    pub(super) fn due(&mut self, now: Micros) -> Option<(OwnerId, Micros, Message)> {
+        let (&end, &owner) = self.ends.first_key_value().filter(|((at, _), _)| *at <= now)?;
+        let line = self.lines.get_mut(&owner)?;
+        let Waiting { came, message, .. } = line.remove(line.iter().position(|w| w.end == end)?)?;
+        self.ends.remove(&end);
+        if line.is_empty() {
+            self.forget(owner);
+        }
+        Some((owner, came, message))
+    }
+
+    /// When the first has to be answered.
+    pub(super) fn next_end(&self) -> Option<Micros> {
+        self.ends.first_key_value().map(|((at, _), _)| *at)
+    }
+
     /// Takes out what an owner gave up; false where it has none of this id in line.
     pub(super) fn give_up(&mut self, owner: OwnerId, id: u64) -> bool {
         let Some(line) = self.lines.get_mut(&owner) else { return false };
-        let before = line.len();
-        line.retain(|w| w.message.id != id);
-        let given_up = before - line.len();
-        self.len -= given_up;
+        let before = self.ends.len();
+        let ends = &mut self.ends;
+        line.retain(|w| w.message.id != id || ends.remove(&w.end).is_none());
         if line.is_empty() {
             self.forget(owner);
         }
-        given_up > 0
+        self.ends.len() < before
     }
 
     /// Forgets what a connection that is closed left.
     pub(super) fn forget(&mut self, owner: OwnerId) {
-        if let Some(line) = self.lines.remove(&owner) {
-            self.len -= line.len();
-            self.turns.retain(|o| *o != owner);
+        for waiting in self.lines.remove(&owner).into_iter().flatten() {
+            self.ends.remove(&waiting.end);
         }
+        self.turns.retain(|o| *o != owner);
     }
 
     pub(super) fn holds(&self, owner: OwnerId, id: u64) -> bool {
@@ -91,6 +96,6 @@
     }
 
     pub(super) fn len(&self) -> usize {
-        self.len
+        self.ends.len()
     }
 }
