An end that comes before its answer is the final answer of its task

Cause 16 without a description came before the answer 160 times: the task had run to its end, and was run again.

Ruled out: connections (up all the time), the loop's lateness (0.5 ms), an answer of ours that was not written.

At fault: Desk::on_release, which took every other cause before an answer for a set-up that broke on its way.

Change: such an end is the final answer (failed); the module is told that the task stood and is over. An attempt with a rival at the same host keeps its doubt. The last lines of the test of ends with descriptions said that cause 16 without one is a break; they now say that it is an end, and what the owner gets.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -1232,8 +1232,7 @@
     }
 
     fn on_answer(&mut self, request: RequestId, attempt: u16, machine: MachineId, message: &Message) {
-        let now = self.now;
-        let Some(ask) = self.asks.get_mut(&request) else { return };
+        let Some(ask) = self.asks.get(&request) else { return };
         // A second copy says nothing new.
         let Life::Offered(_) = ask.life else { return };
         let Some(description) = message.get(code::DESCRIPTION) else {
@@ -1244,25 +1243,46 @@
             self.ended(request, attempt, machine, Outcome::Lost, Why::Unknown, false, None);
             return;
         };
+        let (owner, wire, early) = (ask.owner, ask.wire, ask.doubtful.is_some());
+        let answer = Message::new(Kind::Answer, wire).with(code::DESCRIPTION, description);
+        self.out.push(Output::Reply(owner, answer.encode()));
+        self.counters.placed += 1;
+        self.place(request, attempt, machine);
+        if early {
+            self.clear_up(request, attempt);
+        }
+    }
+
+    /// The attempt that is out stands from now on, and its owner has the final answer.
+    fn place(&mut self, request: RequestId, attempt: u16, machine: MachineId) {
+        let Some(ask) = self.asks.get_mut(&request) else { return };
         let stepped = ask.life.step(Life::Placed(attempt));
         debug_assert!(stepped.is_ok());
-        (ask.placed_at, ask.body) = (now, None);
-        let (owner, wire, task, early) = (ask.owner, ask.wire, ask.task, ask.doubtful.is_some());
+        (ask.placed_at, ask.body) = (self.now, None);
+        let (owner, task) = (ask.owner, ask.task);
         let t = &mut ask.tries[usize::from(attempt)];
         t.stage = Stage::Settled;
         self.hosts.off(t.link, request, attempt);
-        let answer = Message::new(Kind::Answer, wire).with(code::DESCRIPTION, description);
-        self.out.push(Output::Reply(owner, answer.encode()));
         self.open -= 1;
-        self.counters.placed += 1;
         if let Some(owner) = self.owners.get_mut(&owner) {
             owner.open.remove(&request);
         }
         self.events.push(Event::Placed { request, attempt, machine });
         self.stands_at(machine, request, task);
-        if early {
-            self.clear_up(request, attempt);
-        }
+    }
+
+    /// The end of a task came before its answer, which is late or was lost on its way: it stood, and is over. Danger: sent
+    /// on, a second copy stands under an id whose task is over, and nobody tells its owner so; and what has run to its
+    /// end runs once more.
+    fn over_unanswered(
+        &mut self, request: RequestId, attempt: u16, machine: MachineId, outcome: Outcome, message: &Message,
+    ) {
+        let Some(ask) = self.asks.get(&request) else { return };
+        let failed = Message::release(ask.wire, cause::CUT).encode();
+        self.out.push(Output::Reply(ask.owner, failed));
+        self.counters.failed += 1;
+        self.place(request, attempt, machine);
+        self.finish(request, attempt, outcome, read::why(message), read::load(message, &self.shape));
     }
 
     fn on_release(&mut self, request: RequestId, attempt: u16, machine: MachineId, message: &Message) {
@@ -1285,8 +1305,12 @@
                 _ => Outcome::Lost,
             };
             let (link, wire) = (ask.tries[usize::from(attempt)].link, ask.wire);
+            let rival = words::has_rival(ask, attempt);
+            if let Some(outcome) = read::end_of_what_stood(message).filter(|_| !rival) {
+                return self.over_unanswered(request, attempt, machine, outcome, message);
+            }
             let mut stage = Stage::Settled;
-            if outcome == Outcome::Lost && words::has_rival(ask, attempt) {
+            if outcome == Outcome::Lost && rival {
                 // The cut may be that of an earlier attempt at the same host, and this one may go on there.
                 stage = Stage::Loose;
                 self.release(link, wire);
--- a/crates/platform/src/desk/read.rs
+++ b/crates/platform/src/desk/read.rs
@@ -1,9 +1,11 @@
 //! What the parameters of messages say, checked against the settings. What cannot be used never reaches the module.
 
 use super::Body;
-use crate::wire::{Message, code};
+use crate::wire::{Message, cause, code};
 use peppercove::wire::{Shape, report_value};
-use peppercove::{Load, Micros, Note, Repeat, Request, RequestId, ServiceId, Settings, TaskKey, Why};
+use peppercove::{
+    Load, Micros, Note, Outcome, Repeat, Request, RequestId, ServiceId, Settings, TaskKey, Why,
+};
 
 /// Why a set-up cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,6 +138,16 @@
     }
 }
 
+/// How a task ended that had stood, where its host's release says so by itself. What never started is refused with the
+/// same reasons, or broke on its way without any.
+pub(super) fn end_of_what_stood(message: &Message) -> Option<Outcome> {
+    match (message.cause()?, why(message)) {
+        (cause::ORDINARY, _) => Some(Outcome::Done),
+        (cause::CUT, Why::Evicted | Why::PushedOut | Why::SentAway) => Some(Outcome::Lost),
+        _ => None,
+    }
+}
+
 /// The load report that came along.
 pub(super) fn load(message: &Message, shape: &Shape) -> Option<Load> {
     let mut load = Load::default();
--- a/crates/platform/tests/desk.rs
+++ b/crates/platform/tests/desk.rs
@@ -210,11 +210,52 @@
     // Tries after it would be discarded: taken for a break, it cost the task its attempts and its owner a failure.
     assert_eq!(bench.ends(), [(1, 0, Outcome::Done, true)]);
     assert_eq!((bench.desk.open(), bench.desk.standing()), (0, 0));
-    // Without one, it is a break like any other.
+    // Without one there is nothing to answer with, but it ran to its end all the same.
     bench.put(Input::Owner(OwnerId(1), set_up(6, "keyed")));
     bench.bind(2, "a", None);
-    assert!(replies(&bench.put(Input::Host(LinkId(1), Message::release(6, cause::ORDINARY)))).is_empty());
-    assert_eq!(bench.ends(), [(2, 0, Outcome::Lost, false)]);
+    let out = replies(&bench.put(Input::Host(LinkId(1), Message::release(6, cause::ORDINARY))));
+    assert_eq!(out, [(1, Message::release(6, cause::CUT))]);
+    assert_eq!(bench.ends(), [(2, 0, Outcome::Done, true)]);
+}
+
+#[test]
+fn an_end_that_comes_before_its_answer_is_its_owners_final_answer() {
+    let note = |cause, note: &[u8]| Message::release(5, cause).with(code::NOTE, note);
+    let stood = [
+        (note(cause::CUT, b"sent_away"), Outcome::Lost),
+        (note(cause::CUT, b"evicted"), Outcome::Lost),
+        (note(cause::CUT, b"pushed_out"), Outcome::Lost),
+        (Message::release(5, cause::ORDINARY), Outcome::Done),
+    ];
+    for (word, outcome) in stood {
+        let mut bench = Bench::new();
+        bench.offered(5, "plain", None);
+        let out = bench.put(Input::Host(LinkId(1), word.clone()));
+        assert_eq!(replies(&out), [(1, Message::release(5, cause::CUT))], "{word:?}");
+        bench.pass(2 * MS);
+        let told = bench.told();
+        // The module knows that it ran, and that it is over.
+        let placed = told.iter().position(|e| matches!(e, Event::Placed { attempt: 0, .. }));
+        let ended = told
+            .iter()
+            .position(|e| matches!(e, Event::Ended { outcome: how, over: true, .. } if *how == outcome));
+        assert!(placed.is_some() && placed < ended, "{word:?}: {told:?}");
+        // A further attempt of the module goes nowhere, and the answer that was late is nobody's.
+        assert!(sends(&bench.bind(1, "b", None)).is_empty());
+        let answer = Message::new(Kind::Answer, 5).with(code::DESCRIPTION, b"late");
+        assert!(bench.put(Input::Host(LinkId(1), answer)).is_empty());
+        assert_eq!((bench.desk.open(), bench.desk.standing()), (0, 0));
+    }
+    // What never started was refused with the same reason, and what broke on its way has none.
+    for (word, outcome) in [
+        (note(cause::FULL, b"sent_away"), Outcome::Refused),
+        (Message::release(5, cause::CUT), Outcome::Lost),
+    ] {
+        let mut bench = Bench::new();
+        bench.offered(5, "plain", None);
+        assert!(replies(&bench.put(Input::Host(LinkId(1), word))).is_empty());
+        assert_eq!(bench.ends(), [(1, 0, outcome, false)]);
+    }
 }
 
 #[test]
