A call for the list that failed is made again before the list counts as having told

Calls were made again after up to 2.38 s, where several had failed one after the other: n13 37.053 asks, 2.383 s after 'broken off' n8 13.316 asks, 2.308 s after 'closed' n8 50.640 asks, 2.274 s after 'silent' Silence is known after 2.2 s, so the last is 4.47 s after the stop, and 0.3 s (grace and slack) is all that a set-up has.

At fault: Scheduler::on_list, whose waits grow to half of ask_every (5 s with these settings), which says nothing of breaks. Also seen: follow counted any byte as a sign of life, so that a line that never ends kept a silent service for good.

Change: the settings carry the longest wait before a call that failed is made again. Silence counts from the last whole line. The feed's inline tests moved to a test file.

--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -93,6 +93,22 @@
     drop(feed);
 }
 
+#[test]
+fn a_feed_whose_line_never_ends_is_called_anew() {
+    let (journal, _host, _controller) = cluster(256);
+    let (mut feed, _) = journal.tail();
+    write!(feed, "1\n{{\"pos\":2").expect("told");
+    // A byte each while the controller may still wait: signs of a connection, not of the service.
+    let trickle = std::thread::spawn(move || {
+        while write!(feed, " ").is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let (_again, call) = journal.tail();
+    assert_eq!(call, "tail 1");
+    trickle.join().expect("the old call is closed");
+}
+
 #[test]
 fn a_new_configuration_moves_the_feed_and_a_broken_one_changes_nothing() {
     let (journal, host) = (Place::new(), Place::new());
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a controller, as the platform writes it.
 
-use crate::feed::Entry;
+use crate::feed::{self, Entry};
 use peppercove::wire::{Shape, WireError, read_settings};
 use peppercove::{Micros, Settings};
 use serde::Deserialize;
@@ -114,17 +114,22 @@
             let problem = format!("{} are too few, {LEAST_SOCKETS} are needed", file.limits.sockets);
             return Err(wrong("limits.sockets", &problem));
         }
-        let (settings, shape) = read_settings(&serde_json::to_vec(&file.settings)?)?;
+        let (mut settings, shape) = read_settings(&serde_json::to_vec(&file.settings)?)?;
         if settings.classes.is_empty() || shape.classes.iter().any(String::is_empty) {
             return Err(wrong("settings.classes", "each class needs a name, and one class is needed"));
         }
+        settings.ask_again = settings.ask_again.min(feed::ask_again(dial_timeout(&shape)));
         let File { name, listen, limits, journal, known, .. } = file;
         Ok(Config { name, listen, seed, limits, journal, known, settings, shape })
     }
 
     /// How long a connection may take to come up.
     pub fn dial_timeout(&self) -> Micros {
-        // The settings may leave it out; a link of the data centre is up within far less.
-        if self.shape.dial_timeout > 0 { self.shape.dial_timeout } else { 1_000_000 }
+        dial_timeout(&self.shape)
     }
 }
+
+/// The settings may leave it out; a link of the data centre is up within far less.
+fn dial_timeout(shape: &Shape) -> Micros {
+    if shape.dial_timeout > 0 { shape.dial_timeout } else { 1_000_000 }
+}
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -1,13 +1,28 @@
 //! Lines of the journal service, and the list events in them.
 
 use bytes::BytesMut;
-use peppercove::MachineState;
+use peppercove::{MachineState, Micros};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
 /// Longest line in bytes: a whole list of some thousand hosts.
 pub const LONGEST: usize = 1 << 20;
 
+/// A number comes every second; without a whole line for this long the service is silent.
+pub const SILENT: Micros = 2_200_000;
+/// What the service would tell counts as told so long after it broke off, and so long after it went silent.
+const TOLD: [Micros; 2] = [2_000_000, 4_000_000];
+
+/// Longest wait before a call that failed is made again, where connections take so long to come up. Danger: a wait that
+/// grows beyond it leaves hosts in use after the list counts as having told that they drain.
+pub fn ask_again(dial_timeout: Micros) -> Micros {
+    let [broken, silent] = TOLD;
+    broken.min(silent - SILENT).saturating_sub(dial_timeout).max(SOONEST)
+}
+
+/// Connections that come up slowly leave no time; a service that is down is not called without pause all the same.
+const SOONEST: Micros = 100_000;
+
 /// Why the journal service's bytes could not be read. The connection is of no further use.
 #[derive(Debug, thiserror::Error)]
 pub enum FeedError {
@@ -136,34 +151,3 @@
         Line::Event(_) | Line::Last(_) => Step::AskAgain,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn whole_lines_alone_are_read_and_a_torn_one_stays() {
-        let text = "41\n{\"pos\":42,\"hosts\":{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"a\",\
-            \"addr\":\"10.1.0.9:5070\",\"zone\":\"east\",\"kind\":\"std\",\"cell\":2,\"state\":\"leaving\",\
-            \"weight\":4,\"started_ms\":0,\"room\":[1.5,-2]}]}}\n{\"pos\":4";
-        let mut buffer = BytesMut::from(text);
-        assert_eq!(line(&mut buffer).expect("a number"), Some(Line::Last(41)));
-        let Ok(Some(Line::Event(entry))) = line(&mut buffer) else { panic!("an event") };
-        let host = &entry.hosts.as_ref().expect("hosts").servers[0];
-        assert_eq!((host.state, host.room, entry.pos), (Some(State::Leaving), Some([1.5, -2.0]), 42));
-        assert!(matches!(line(&mut buffer), Ok(None)));
-        assert_eq!(buffer[..], b"{\"pos\":4"[..]);
-        buffer.extend_from_slice(b"\n");
-        assert!(matches!(line(&mut buffer), Err(FeedError::Malformed(_))), "torn and then ended");
-    }
-
-    #[test]
-    fn repeated_events_are_skipped_and_gaps_asked_for() {
-        let event = |pos| Line::Event(Entry { pos, hosts: None });
-        assert_eq!(
-            [step(4, &event(4)), step(4, &event(5)), step(4, &event(6))],
-            [Step::Skip, Step::Take, Step::AskAgain]
-        );
-        assert_eq!([step(4, &Line::Last(4)), step(4, &Line::Last(5))], [Step::Skip, Step::AskAgain]);
-    }
-}
--- /dev/null
+++ b/crates/platform/tests/feed.rs
@@ -0,0 +1,41 @@
+//! Lines of the journal service, and how soon it is called again.
+
+use bytes::BytesMut;
+use peppercove_platform::feed::{Entry, FeedError, Line, SILENT, State, Step, ask_again, line, step};
+
+#[test]
+fn whole_lines_alone_are_read_and_a_torn_one_stays() {
+    let text = "41\n{\"pos\":42,\"hosts\":{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"a\",\
+        \"addr\":\"10.1.0.9:5070\",\"zone\":\"east\",\"kind\":\"std\",\"cell\":2,\"state\":\"leaving\",\
+        \"weight\":4,\"started_ms\":0,\"room\":[1.5,-2]}]}}\n{\"pos\":4";
+    let mut buffer = BytesMut::from(text);
+    assert_eq!(line(&mut buffer).expect("a number"), Some(Line::Last(41)));
+    let Ok(Some(Line::Event(entry))) = line(&mut buffer) else { panic!("an event") };
+    let host = &entry.hosts.as_ref().expect("hosts").servers[0];
+    assert_eq!((host.state, host.room, entry.pos), (Some(State::Leaving), Some([1.5, -2.0]), 42));
+    assert!(matches!(line(&mut buffer), Ok(None)));
+    assert_eq!(buffer[..], b"{\"pos\":4"[..]);
+    buffer.extend_from_slice(b"\n");
+    assert!(matches!(line(&mut buffer), Err(FeedError::Malformed(_))), "torn and then ended");
+}
+
+#[test]
+fn repeated_events_are_skipped_and_gaps_asked_for() {
+    let event = |pos| Line::Event(Entry { pos, hosts: None });
+    assert_eq!(
+        [step(4, &event(4)), step(4, &event(5)), step(4, &event(6))],
+        [Step::Skip, Step::Take, Step::AskAgain]
+    );
+    assert_eq!([step(4, &Line::Last(4)), step(4, &Line::Last(5))], [Step::Skip, Step::AskAgain]);
+}
+
+#[test]
+fn the_list_is_asked_for_again_before_it_counts_as_having_told() {
+    for dial_timeout in [0, 50_000, 250_000, 1_000_000] {
+        let wait = ask_again(dial_timeout);
+        // The page: 2 s after a break, 4 s after a stop, which is known after the silence.
+        assert!(wait + dial_timeout <= 2_000_000, "after a break, {dial_timeout}");
+        assert!(SILENT + wait + dial_timeout <= 4_000_000, "after a stop, {dial_timeout}");
+    }
+    assert!(ask_again(u64::MAX) > 0, "never without a pause");
+}
--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -3,16 +3,13 @@
 use crate::shell::Shell;
 use bytes::BytesMut;
 use peppercove_platform::Input;
-use peppercove_platform::feed::{FeedError, Line, Step, line, step};
+use peppercove_platform::feed::{FeedError, Line, SILENT, Step, line, step};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
-
-/// A number comes every second; without one for this long the service is silent.
-const SILENT: Duration = Duration::from_millis(2200);
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Bytes read at a time: a change of some hundreds of hosts.
 const AT_ONCE: usize = 64 << 10;
@@ -82,11 +79,14 @@
     }
     let mut buffer = BytesMut::new();
     let mut answered = false;
+    // Danger: bytes that come without ever ending a line are no sign of life.
+    let silent_for = Duration::from_micros(SILENT);
+    let mut silent_at = Instant::now() + silent_for;
     loop {
         // Danger: read in small parts, a list of hundreds of hosts waits for one turn of all connections after the other.
         buffer.reserve(AT_ONCE);
         tokio::select! {
-            read = timeout(SILENT, stream.read_buf(&mut buffer)) => match read {
+            read = timeout_at(silent_at, stream.read_buf(&mut buffer)) => match read {
                 Ok(Ok(0)) => return End::Closed,
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => return End::Broken(error),
@@ -99,14 +99,17 @@
         let mut numbered = false;
         let end = loop {
             match line(&mut buffer) {
-                Ok(Some(line)) => match (step(shell.pos.get(), &line), line) {
-                    (Step::Take, Line::Event(entry)) => {
-                        shell.pos.set(entry.pos);
-                        entries.push(entry);
+                Ok(Some(line)) => {
+                    silent_at = Instant::now() + silent_for;
+                    match (step(shell.pos.get(), &line), line) {
+                        (Step::Take, Line::Event(entry)) => {
+                            shell.pos.set(entry.pos);
+                            entries.push(entry);
+                        }
+                        (Step::AskAgain, _) => break Some(End::Gap),
+                        (Step::Skip | Step::Take, line) => numbered |= matches!(line, Line::Last(_)),
                     }
-                    (Step::AskAgain, _) => break Some(End::Gap),
-                    (Step::Skip | Step::Take, line) => numbered |= matches!(line, Line::Last(_)),
-                },
+                }
                 Ok(None) => break None,
                 Err(error) => break Some(error.into()),
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,7 +149,7 @@
         if scope == ListScope::Failed {
             // Danger: all schedulers lose the list at once and ask again in step; waits grow and scatter.
             self.watch_failures = (self.watch_failures + 1).min(4);
-            let wait = (self.settings.ask_every / 32) << self.watch_failures;
+            let wait = ((self.settings.ask_every / 32) << self.watch_failures).min(self.settings.ask_again);
             self.watch_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
             return;
         }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -119,6 +119,25 @@
     assert_eq!(scheduler.handle(at, &[Event::Timer(label)]), [Action::Watch]);
 }
 
+#[test]
+fn however_often_calls_for_the_list_fail_the_next_is_made_within_the_settings_time() {
+    for seed in 0..20 {
+        let settings = Settings { ask_again: 700_000, ..Settings::sample() };
+        let mut scheduler = Scheduler::new(settings, seed);
+        let mut now = SECOND;
+        scheduler.handle(now, &[list(ListScope::Cached, 0, vec![line(1, 1)])]);
+        let mut waits = Vec::new();
+        for _ in 0..8 {
+            let actions = scheduler.handle(now, &[list(ListScope::Failed, 0, vec![])]);
+            let Some(Action::SetTimer { label, at }) = actions.last() else { panic!("{actions:?}") };
+            waits.push(at - now);
+            now = *at;
+            assert!(scheduler.handle(now, &[Event::Timer(*label)]).contains(&Action::Watch));
+        }
+        assert!(waits.iter().all(|w| (1..=700_000).contains(w)), "{waits:?}");
+    }
+}
+
 #[test]
 fn a_machine_missing_from_a_full_list_or_draining_gets_nothing_from_then_on() {
     let mut scheduler = with_machines(Settings::sample(), 3);
