What the system has taken is read before a connection or the program ends

Why: review of what ends things. Two endings concluded from what had been read, and not from what had arrived: - stop (crates/serve/src/lib.rs) ended once nothing was open and all was written. Connections that the machine had accepted and requests that stood in a socket were lost where the loop got to its clock first: the test of it, with a process that does not run while they come (SIGSTOP, 40 new connections, one request on an open one, SIGCONT past the time of the stop), gets no answer for them before. - Shell::make_room and Shell::look_over ended idle connections at once, with what had come on them since they were last looked at. An owner sends again only what crossed the close within 50 ms; a loop with little of a core looks less often than that.

Change: a stop waits until a look at all sockets has brought nothing, and until what goes to hosts is written as well (a cut that waits there would never be brought). A connection that is finished is read once more, after the runtime has looked, and goes on if that brought a request; it stays known until it has ended.

Each test fails with its mend taken out: a_stop_answers_what_the_system_has_taken_and_nobody_has_read, what_came_while_nobody_looked_is_read_before_a_connection_that_is_finished_ends.

--- a/crates/cli/tests/serve.rs
+++ b/crates/cli/tests/serve.rs
@@ -152,6 +152,42 @@
     assert!(controller.ended().success());
 }
 
+/// The system takes connections and bytes for a process that does not run. Both stand when the time of its stop is over
+/// and it runs again, which sees its clock and its sockets at the same instant.
+#[test]
+fn a_stop_answers_what_the_system_has_taken_and_nobody_has_read() {
+    let (_journal, host, mut controller) = cluster(256);
+    let mut owner = Peer::connect(controller.address);
+    owner.send(&set_up(5, "one"));
+    let mut at_host = host.peer();
+    at_host.hear();
+    at_host.answer(5, b"x");
+    assert_eq!(owner.hear().id, 5);
+    controller.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(200));
+    controller.signal("-STOP");
+    let mut new: Vec<Peer> = (6..46).map(|_| Peer::connect(controller.address)).collect();
+    owner.send(&set_up(50, "one"));
+    for (id, peer) in (6..).zip(&mut new) {
+        peer.send(&set_up(id, "one"));
+    }
+    // Longer than it goes on serving by itself.
+    std::thread::sleep(Duration::from_millis(1500));
+    controller.signal("-CONT");
+    let host = std::thread::spawn(move || {
+        for _ in 0..41 {
+            let id = at_host.hear().id;
+            at_host.answer(id, b"x");
+        }
+    });
+    assert_eq!(owner.hear().id, 50);
+    for (id, peer) in (6..).zip(&mut new) {
+        assert_eq!(peer.hear().id, id);
+    }
+    host.join().expect("each came to the host");
+    assert!(controller.ended().success());
+}
+
 #[test]
 fn a_stop_with_nothing_open_still_serves_what_is_on_its_way() {
     let (_journal, host, mut controller) = cluster(256);
--- a/crates/runtime/src/pipe.rs
+++ b/crates/runtime/src/pipe.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// Goes on after all with what was to be finished: something came that is owed an answer.
+    pub fn stay(&self) {
+        if self.ending.get() == Some(End::Flushed) {
+            self.ending.set(None);
+        }
+    }
+
+    /// It was told to end.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get().is_some()
+    }
+
     /// Bytes that the system has taken so far.
     pub fn written(&self) -> u64 {
         self.written.get()
@@ -154,17 +166,35 @@
 }
 
 /// Carries bytes both ways until the connection ends. `read` takes what it can use off the front of the buffer; false
-/// ends the connection.
+/// ends the connection. One that is finished is read once more before it ends, so that [`Outbox::stay`] can be called.
 pub async fn carry(
     stream: &Rc<TcpStream>, outbox: &Outbox, mut read: impl FnMut(&mut BytesMut) -> bool,
 ) -> Closed {
     *outbox.stream.borrow_mut() = Rc::downgrade(stream);
     let mut buffer = BytesMut::new();
+    let mut looked = false;
     loop {
         match outbox.ending.get() {
             Some(End::Now) => return Closed::Here,
-            Some(End::Flushed) if outbox.is_empty() => return Closed::Here,
-            _ => {}
+            Some(End::Flushed) if outbox.is_empty() && looked => return Closed::Here,
+            Some(End::Flushed) if outbox.is_empty() => {
+                // Danger: what the peer sent while nobody looked is owed an answer. The runtime looks for it now.
+                tokio::task::yield_now().await;
+                looked = true;
+                buffer.reserve(READ);
+                match stream.try_read_buf(&mut buffer) {
+                    Ok(0) => return Closed::Peer,
+                    Ok(_) if !read(&mut buffer) => {
+                        let _ = outbox.write_to(stream);
+                        return Closed::Unreadable;
+                    }
+                    // An error is met again where the connection goes on.
+                    Ok(_) | Err(_) => {}
+                }
+                continue;
+            }
+            Some(End::Flushed) => {}
+            None => looked = false,
         }
         let writing = match outbox.write_to(stream) {
             Ok(()) => false,
--- a/crates/runtime/tests/pipe.rs
+++ b/crates/runtime/tests/pipe.rs
@@ -34,6 +34,35 @@
     }
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn what_came_while_nobody_looked_is_read_before_a_connection_that_is_finished_ends() {
+    for stays in [true, false] {
+        let (here, there) = pair().await;
+        let mut there = there.into_std().expect("a socket");
+        let outbox = Outbox::new(&Budget::new(1 << 10));
+        // Both stand before the one that carries has its first turn, and the runtime has not looked in between.
+        std::io::Write::write_all(&mut there, b"a set-up").expect("written");
+        outbox.finish();
+        let mut read = Vec::new();
+        let carried = carry(&here, &outbox, |buffer| {
+            read.extend_from_slice(&buffer.split());
+            if stays {
+                outbox.stay();
+                assert!(outbox.push(b"its answer"));
+                outbox.finish();
+            }
+            true
+        });
+        assert!(matches!(carried.await, Closed::Here));
+        assert_eq!(read, b"a set-up");
+        drop(here);
+        there.set_nonblocking(false).expect("blocking");
+        let mut answer = String::new();
+        std::io::Read::read_to_string(&mut there, &mut answer).expect("closed");
+        assert_eq!(answer, if stays { "its answer" } else { "" });
+    }
+}
+
 /// Danger: what goes to a host must be out before the final answer to its owner, whichever connection has its turn first.
 #[tokio::test(flavor = "current_thread")]
 async fn what_is_written_at_once_is_out_before_any_other_connection_has_its_turn() {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -124,8 +124,12 @@
     let began = Instant::now();
     tracing::info!(open = shell.open(), "stopping");
     sleep(STILL_SERVING).await;
+    // Danger: what the system has taken and nobody has read yet, in connections taken or not, is owed an answer as well.
+    // The runtime looks for it at each wait; a wait that brought nothing says that there is none.
     let all_answered = async {
-        while shell.open() > 0 || !shell.is_flushed() {
+        let mut seen = None;
+        while shell.open() > 0 || !shell.is_flushed() || seen != Some(shell.activity()) {
+            seen = Some(shell.activity());
             sleep(Duration::from_millis(5)).await;
         }
     };
--- a/crates/serve/src/owners.rs
+++ b/crates/serve/src/owners.rs
@@ -34,7 +34,8 @@
         spawn_local(async move {
             let stream = Rc::new(stream);
             carry(&stream, &connection.outbox, |buffer| {
-                read(&shell, &connection, buffer, |message| shell.input(Input::Owner(owner, message)))
+                shell.is_active();
+                read(&shell, &connection, buffer, |message| shell.from_owner(owner, &connection, message))
             })
             .await;
             drop(stream);
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use peppercove::{Micros, Scheduler};
 use peppercove_platform::config::Config;
+use peppercove_platform::wire::Message;
 use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
 use peppercove_runtime::{Budget, Clock, Timer};
 use std::cell::{Cell, RefCell};
@@ -46,6 +47,8 @@
     known: RefCell<Vec<peppercove_platform::feed::Entry>>,
     owners: RefCell<BTreeMap<OwnerId, Rc<Connection>>>,
     next_owner: Cell<u64>,
+    /// Connections taken and reads from them, as a count that only a quiet front leaves alone.
+    activity: Cell<u64>,
     /// As the desk was told last.
     crowded: Cell<bool>,
     links: RefCell<BTreeMap<LinkId, Rc<Connection>>>,
@@ -78,6 +81,7 @@
             known: RefCell::new(config.known.entries),
             owners: RefCell::default(),
             next_owner: Cell::new(1),
+            activity: Cell::new(0),
             crowded: Cell::new(false),
             links: RefCell::default(),
             dial,
@@ -156,6 +160,7 @@
         if self.owners.borrow().len() >= self.bounds.owners && !self.make_room() {
             return None;
         }
+        self.is_active();
         let id = OwnerId(self.next_owner.get());
         self.next_owner.set(id.0 + 1);
         let connection = Connection::new(self.clock.now(), &self.budget);
@@ -186,16 +191,34 @@
     /// which an answer is waited for, or that has something left to write.
     fn make_room(&self) -> bool {
         let desk = self.desk.borrow();
-        let mut owners = self.owners.borrow_mut();
-        let idle = owners.iter().filter(|(id, c)| c.outbox.is_empty() && !desk.is_waited_for(**id));
+        let owners = self.owners.borrow();
+        let unused = |id: OwnerId, c: &Connection| c.outbox.is_empty() && !desk.is_waited_for(id);
+        let idle = owners.iter().filter(|(id, c)| !c.outbox.is_ending() && unused(**id, c));
         let rank = |id: &OwnerId, c: &Connection| (desk.is_usual(*id), c.heard_at.get().unwrap_or(c.since));
-        let Some(id) = idle.min_by_key(|(id, c)| rank(id, c)).map(|(id, _)| *id) else { return false };
-        if let Some(connection) = owners.remove(&id) {
-            connection.outbox.finish();
-        }
+        let Some((_, connection)) = idle.min_by_key(|(id, c)| rank(id, c)) else { return false };
+        // It is looked at once more before it ends, and is known here until then.
+        connection.outbox.finish();
         true
     }
 
+    /// Something was taken in from an owner.
+    pub(crate) fn is_active(&self) {
+        self.activity.set(self.activity.get() + 1);
+    }
+
+    pub(crate) fn activity(&self) -> u64 {
+        self.activity.get()
+    }
+
+    /// A message of an owner. Danger: one that crosses the end of its idle connection is owed its answer there, for its owner
+    /// sends it again only where it came just before the close.
+    pub(crate) fn from_owner(&self, owner: OwnerId, connection: &Connection, message: Message) {
+        self.input(Input::Owner(owner, message));
+        if connection.outbox.is_ending() && self.desk.borrow().is_waited_for(owner) {
+            connection.outbox.stay();
+        }
+    }
+
     pub(crate) fn move_feed(&self, journal: SocketAddr) {
         self.journal.set(journal);
         self.moved.notify_one();
@@ -210,8 +233,10 @@
         self.desk.borrow().counters()
     }
 
+    /// Nothing waits to be written, to owners or to hosts.
     pub(crate) fn is_flushed(&self) -> bool {
-        self.owners.borrow().values().all(|c| c.outbox.is_empty())
+        let empty = |c: &Rc<Connection>| c.outbox.is_empty();
+        self.owners.borrow().values().all(empty) && self.links.borrow().values().all(empty)
     }
 
     /// Looks connections over once.
@@ -228,10 +253,11 @@
         for (owner, connection) in self.owners.borrow().iter() {
             let half = connection.half_since.get();
             let silent = connection.heard_at.get().is_none() && late(Some(connection.since), SILENT);
-            if silent || late(half, HALF_A_MESSAGE * 2) && !desk.is_waited_for(*owner) {
+            if late(half, HALF_A_MESSAGE * 2) && !desk.is_waited_for(*owner) {
                 connection.outbox.close();
-            } else if late(half, HALF_A_MESSAGE) && !desk.is_waited_for(*owner) {
-                // Danger: what it asked before is owed an answer, whatever it begins and does not end.
+            } else if silent || late(half, HALF_A_MESSAGE) && !desk.is_waited_for(*owner) {
+                // Danger: what it asked before is owed an answer, whatever it begins and does not end; and so is what it
+                // asked for while nobody looked.
                 connection.outbox.finish();
             }
         }
