--- a/crates/serve/src/owners.rs
+++ b/crates/serve/src/owners.rs
@@ -35,7 +35,7 @@
             let stream = Rc::new(stream);
             carry(&stream, &connection.outbox, |buffer| {
                 shell.is_active();
-                read(&shell, &connection, buffer, |message| shell.from_owner(owner, &connection, message))
+                read(&shell, &connection, buffer, |message| shell.take_in(owner, &connection, message))
             })
             .await;
             drop(stream);
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -212,7 +212,7 @@
 
     /// A message of an owner. Danger: one that crosses the end of its idle connection is owed its answer there, for its owner
     /// sends it again only where it came just before the close.
-    pub(crate) fn from_owner(&self, owner: OwnerId, connection: &Connection, message: Message) {
+    pub(crate) fn take_in(&self, owner: OwnerId, connection: &Connection, message: Message) {
         self.input(Input::Owner(owner, message));
         if connection.outbox.is_ending() && self.desk.borrow().is_waited_for(owner) {
             connection.outbox.stay();
