--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -751,7 +751,7 @@
         peer_messages: peers.text("listen").is_some(),
         list_on_request: list.word("mode") == "on-request",
         ask_every: list.micros("ask-every"),
-        ask_again: list.micros("ask-every") / 2,
+        ask_again: [16, 2].map(|part| list.micros("ask-every") / part),
         // The daemon keeps its own reserve ahead of the deadline, so the module is told of no slack after it.
         answer_slack: 0,
         drain_grace: rules.micros("drain-grace"),
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -118,7 +118,8 @@
         if settings.classes.is_empty() || shape.classes.iter().any(String::is_empty) {
             return Err(wrong("settings.classes", "each class needs a name, and one class is needed"));
         }
-        settings.ask_again = settings.ask_again.min(feed::ask_again(dial_timeout(&shape)));
+        let [first, most] = feed::ask_again(settings.drain_grace, dial_timeout(&shape));
+        settings.ask_again = [settings.ask_again[0].min(first), settings.ask_again[1].min(most)];
         let File { name, listen, limits, journal, known, .. } = file;
         Ok(Config { name, listen, seed, limits, journal, known, settings, shape })
     }
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -13,14 +13,17 @@
 /// What the service would tell counts as told so long after it broke off, and so long after it went silent.
 const TOLD: [Micros; 2] = [2_000_000, 4_000_000];
 
-/// Longest wait before a call that failed is made again, where connections take so long to come up. Danger: a wait that
-/// grows beyond it leaves hosts in use after the list counts as having told that they drain.
-pub fn ask_again(dial_timeout: Micros) -> Micros {
+/// Longest waits before a call that failed is made again, the first time and however often it failed, where connections
+/// take so long to come up. Danger: what the service tells meanwhile counts as told. Of a connection that the network
+/// resets it does at once, so that the first wait leaves most of a drain's grace; a service that breaks off or goes silent
+/// has the page's times.
+pub fn ask_again(drain_grace: Micros, dial_timeout: Micros) -> [Micros; 2] {
     let [broken, silent] = TOLD;
-    broken.min(silent - SILENT).saturating_sub(dial_timeout).max(SOONEST)
+    let most = broken.min(silent - SILENT).saturating_sub(dial_timeout).max(SOONEST);
+    [(drain_grace / 4).clamp(SOONEST / 4, most), most]
 }
 
-/// Connections that come up slowly leave no time; a service that is down is not called without pause all the same.
+/// A service that is down is not called without pause, however slowly connections come up and however short the grace.
 const SOONEST: Micros = 100_000;
 
 /// Why the journal service's bytes could not be read. The connection is of no further use.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -147,9 +147,9 @@
 
     fn on_list(&mut self, scope: ListScope, version: u64, lines: &[MachineLine]) {
         if scope == ListScope::Failed {
-            // Danger: all lose the list at once; what is told meanwhile counts: soon, then later, scattered.
-            let first = (self.settings.drain_grace / 4).max(self.settings.tick);
-            let wait = (first << (2 * self.watch_failures)).min(self.settings.ask_again);
+            // Danger: all schedulers lose the list at once and ask again in step; waits grow and scatter.
+            let [first, most] = self.settings.ask_again;
+            let wait = (first << self.watch_failures).min(most);
             self.watch_failures = (self.watch_failures + 1).min(4);
             self.watch_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
             return;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -178,8 +178,8 @@
     pub list_on_request: bool,
     /// Without a subscription, the list counts as told this long after it was last asked for.
     pub ask_every: Micros,
-    /// Longest wait before a call for the list that failed is made again.
-    pub ask_again: Micros,
+    /// Longest waits before a call for the list that failed is made again: the first time, and ever.
+    pub ask_again: [Micros; 2],
     /// Grace of an answer after the deadline.
     pub answer_slack: Micros,
     /// Time allowed between hearing of a drain and the last bind.
@@ -250,7 +250,7 @@
             peer_messages: false,
             list_on_request: true,
             ask_every: 10_000_000,
-            ask_again: 5_000_000,
+            ask_again: [625_000, 5_000_000],
             answer_slack: 10_000,
             drain_grace: 500_000,
             cold_from: 0.2,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -637,7 +637,7 @@
         peer_messages: facts.caps.peer_messages,
         list_on_request: facts.registry_mode == "on_request",
         ask_every: facts.guarantees.ask_every as Micros,
-        ask_again: facts.guarantees.ask_every as Micros / 2,
+        ask_again: [16, 2].map(|part| facts.guarantees.ask_every as Micros / part),
         answer_slack: facts.guarantees.answer_slack as Micros,
         drain_grace: facts.guarantees.stop_sending_within as Micros,
         cold_from: facts.guarantees.cold_from,
