--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -19,8 +19,10 @@
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -40,6 +42,29 @@
         #[arg(long)]
         json: bool,
     },
+    /// The program's roles at rising sizes, hollow or real: one JSON object a figure.
+    Scale {
+        /// Fewer and smaller points.
+        #[arg(long)]
+        quick: bool,
+        /// Only this role; may be repeated.
+        #[arg(long, value_name = "ROLE")]
+        role: Vec<String>,
+        /// Where the rows are written; standard output where left out.
+        #[arg(long, value_name = "FILE")]
+        out: Option<PathBuf>,
+    },
+    /// One point of `scale`, in a process of its own.
+    #[command(hide = true)]
+    ScalePoint {
+        /// The role.
+        role: String,
+        /// Its sizes, as JSON.
+        at: String,
+        /// Fewer samples.
+        #[arg(long)]
+        quick: bool,
+    },
     /// The bare relay that `placing` measures beside the controller.
     #[command(hide = true)]
     Relay {
@@ -55,6 +80,14 @@
             let rows = LocalSet::new().block_on(&runtime, placing(Duration::from_secs(*seconds)))?;
             show(&rows, *json)?;
         }
+        BenchCommand::Scale { quick, role, out } => {
+            let mut out: Box<dyn Write> = match out {
+                Some(path) => Box::new(File::create(path).with_context(|| path.display().to_string())?),
+                None => Box::new(std::io::stdout()),
+            };
+            peppercove_scale::run::sweeps(role, *quick, &mut out)?;
+        }
+        BenchCommand::ScalePoint { role, at, quick } => peppercove_scale::run::point(role, at, *quick)?,
         BenchCommand::Relay { nodes } => LocalSet::new().block_on(&runtime, relay(nodes))?,
     }
     Ok(ExitCode::SUCCESS)
