A bind compares machines with sorted homes, not each with each

A profile of the issue has 97% of a bind at 13,000 machines in one retain of keep_home: each machine of the set is held against each home, and the learned number of homes may grow with the machines, so a bind was quadratic.

Homes are sorted once and searched (state.rs, Homes). The ranking itself is unchanged and now stands beside it (home_rank).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,9 +7,9 @@
 
 use crate::interface::*;
 use crate::state::{
-    Attempt, Counts, Machine, Mean, Part, Stage, Task, first, narrow, release, scatter, unit,
+    Attempt, Counts, Homes, Machine, Mean, Part, Stage, Task, first, home_rank, narrow, release, scatter,
 };
-use std::collections::BTreeSet;
+use std::{cell::Cell, collections::BTreeSet};
 
 /// Share of memory filled by choice: the last tenth is left for tasks that grow after they start.
 const MEMORY_FILL: f64 = 0.9;
@@ -63,6 +63,7 @@
     room_news: bool,
     next_try: Micros,
     wake: Micros,
+    compared: Cell<u64>,
     out: Vec<Action>,
 }
 
@@ -93,6 +94,7 @@
             room_news: false,
             next_try: 0,
             wake: Micros::MAX,
+            compared: Cell::new(0),
             out: Vec::new(),
         }
     }
@@ -114,6 +116,11 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Machines that binds have looked at, and held against each other: for tests of what a bind costs.
+    pub fn compared(&self) -> u64 {
+        self.compared.get()
+    }
+
     fn take_in(&mut self, event: &Event) {
         match event {
             Event::MachineList { scope, version, lines } => self.on_list(*scope, *version, lines),
@@ -232,7 +239,7 @@
     // ---- A task comes ----
 
     fn on_place(&mut self, ask: &Request) {
-        if !self.makes_sense(ask) {
+        if !ask.makes_sense(&self.settings) {
             self.out.push(Action::Refuse { request: ask.request, retry_after: None });
             return;
         }
@@ -247,13 +254,8 @@
         }
     }
 
-    fn makes_sense(&self, ask: &Request) -> bool {
-        let sane = |x: f64| x.is_finite() && x >= 0.0;
-        usize::from(ask.class) < self.settings.classes.len() && sane(ask.cores) && sane(ask.memory)
-    }
-
     fn on_standing(&mut self, ask: &Request, machine: MachineId) {
-        if !self.makes_sense(ask) || self.tasks.contains_key(&ask.request) {
+        if !ask.makes_sense(&self.settings) || self.tasks.contains_key(&ask.request) {
             return;
         }
         let mut task = Task::new(ask, self.now, self.now, Stage::Placed);
@@ -363,6 +365,7 @@
             Some(ids) => ids.iter().filter_map(|id| self.machines.get(id)).filter(may).collect(),
             None => self.machines.values().filter(may).collect(),
         };
+        self.compared.set(self.compared.get() + among.map_or(self.machines.len(), <[_]>::len) as u64);
         self.keep_opened(&mut set, mean_others);
         self.keep_home(&mut set, &task.ask, mean_others);
         narrow(&mut set, |m| self.keeps_memory_free(m, &task.ask, mean_others));
@@ -466,7 +469,7 @@
     /// Danger: memory in use at its end evicts tasks, and the asks do not show it. Machines that would keep
     /// a part of their memory free are preferred.
     fn keeps_memory_free(&self, m: &Machine, ask: &Request, mean_others: [f64; 2]) -> bool {
-        let memory = self.expected_use(m, mean_others)[1] + ask.memory * self.use_ratio[1];
+        let memory = m.expected_use(mean_others, self.use_ratio)[1] + ask.memory * self.use_ratio[1];
         memory <= MEMORY_FILL * m.memory
     }
 
@@ -484,12 +487,6 @@
         }
     }
 
-    fn expected_use(&self, m: &Machine, mean_others: [f64; 2]) -> [f64; 2] {
-        let asked = m.asked(mean_others);
-        let used = |i: usize| (asked[i] * self.use_ratio[i] + m.excess[i]).max(0.0);
-        [used(0), used(1)]
-    }
-
     /// Danger: a start without the program costs many times more and misses the aim, which is worth many
     /// seconds of service; so does a start behind many others. Machines expected to make it are preferred.
     fn keep_timely(&self, set: &mut Vec<&Machine>, task: &Task) {
@@ -504,8 +501,7 @@
     /// on ever new machines. The draw keeps to known holders and a few homes, ranked by service and id,
     /// larger machines ahead in proportion: all schedulers come to the same ones without a word.
     fn keep_home(&self, set: &mut Vec<&Machine>, ask: &Request, mean_others: [f64; 2]) {
-        let part = |m: &Machine| unit(scatter(ask.service.0 ^ scatter(m.line.machine.0)));
-        let rank = |m: &Machine| part(m).max(f64::MIN_POSITIVE).ln() / m.cores.max(1e-9);
+        let rank = |m: &Machine| home_rank(ask.service, m.line.machine, m.cores);
         let mut ranked: Vec<(f64, &Machine)> = set.iter().map(|m| (rank(m), *m)).collect();
         // As many again stand in for homes that run short of memory.
         let homes = self.homes[usize::from(ask.class)].round() as usize;
@@ -514,9 +510,9 @@
         });
         let mut ranked: Vec<&Machine> = ranked.into_iter().map(|(_, m)| m).collect();
         narrow(&mut ranked, |m| self.keeps_memory_free(m, ask, mean_others));
-        ranked.truncate(homes);
-        let home = |m: &Machine| ranked.iter().any(|h| h.line.machine == m.line.machine);
-        set.retain(|m| m.holds_program(ask.service) || home(m));
+        // Danger: homes may be learned to grow with the machines; each held against each is their square.
+        let homes = Homes::of(ranked.into_iter().take(homes).map(|m| m.line.machine), &self.compared);
+        set.retain(|m| m.holds_program(ask.service) || homes.hold(m.line.machine));
     }
 
     fn start_estimate(&self, m: &Machine, ask: &Request) -> f64 {
@@ -535,7 +531,7 @@
     /// The entry: the larger share of cores or memory, as asked of what it accepts or as used of what it has.
     fn entry(&self, m: &Machine, mean_others: [f64; 2]) -> f64 {
         let asked = m.asked(mean_others);
-        let used = self.expected_use(m, mean_others);
+        let used = m.expected_use(mean_others, self.use_ratio);
         let cores = (asked[0] / self.settings.accepts_cores).max(used[0]) / m.cores.max(1e-9);
         let memory = (asked[1] / self.settings.accepts_memory).max(used[1]) / m.memory.max(1e-9);
         cores.max(memory)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,14 @@
     pub again: bool,
 }
 
+impl Request {
+    /// Its class is known and its figures are numbers that something can have.
+    pub(crate) fn makes_sense(&self, settings: &Settings) -> bool {
+        let sane = |x: f64| x.is_finite() && x >= 0.0;
+        usize::from(self.class) < settings.classes.len() && sane(self.cores) && sane(self.memory)
+    }
+}
+
 /// A load report of a machine; each value only where the site reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The types that the decision module keeps its state in, and plain helpers. No decision lives here.
 
 use crate::interface::*;
+use std::cell::Cell;
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 
@@ -100,6 +101,13 @@
         [self.own[0] + others[0], self.own[1] + others[1]]
     }
 
+    /// Cores and memory in use, where tasks use this share of what they ask for.
+    pub(crate) fn expected_use(&self, others: [f64; 2], ratio: [f64; 2]) -> [f64; 2] {
+        let asked = self.asked(others);
+        let used = |i: usize| (asked[i] * ratio[i] + self.excess[i]).max(0.0);
+        [used(0), used(1)]
+    }
+
     /// Adds or takes off a task of this scheduler's own; what was before `keep` ago is forgotten.
     pub(crate) fn add_own(&mut self, now: Micros, ask: &Request, sign: f64, keep: Micros) {
         self.history.retain(|(at, _)| at + keep > now);
@@ -233,6 +241,34 @@
     }
 }
 
+/// Homes of a service, to be held against many machines.
+pub(crate) struct Homes<'a> {
+    sorted: Vec<MachineId>,
+    compared: &'a Cell<u64>,
+}
+
+impl<'a> Homes<'a> {
+    /// Counts what is compared in `compared`.
+    pub(crate) fn of(homes: impl Iterator<Item = MachineId>, compared: &'a Cell<u64>) -> Homes<'a> {
+        let mut sorted: Vec<MachineId> = homes.collect();
+        sorted.sort_unstable();
+        Homes { sorted, compared }
+    }
+
+    pub(crate) fn hold(&self, machine: MachineId) -> bool {
+        let compare = |home: &MachineId| {
+            self.compared.set(self.compared.get() + 1);
+            home.cmp(&machine)
+        };
+        self.sorted.binary_search_by(compare).is_ok()
+    }
+}
+
+/// Where a machine stands among the homes of a service, the highest first: larger ones ahead in proportion.
+pub(crate) fn home_rank(service: ServiceId, machine: MachineId, cores: f64) -> f64 {
+    unit(scatter(service.0 ^ scatter(machine.0))).max(f64::MIN_POSITIVE).ln() / cores.max(1e-9)
+}
+
 /// A fixed mixing of an id's bits (the finish of splitmix64), equal at every scheduler.
 pub(crate) fn scatter(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -241,7 +277,7 @@
 }
 
 /// The bits of a scattered id as a number from 0 up to 1.
-pub(crate) fn unit(x: u64) -> f64 {
+fn unit(x: u64) -> f64 {
     (x >> 11) as f64 / (1u64 << 53) as f64
 }
 
