--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -5,8 +5,12 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// Longest line in bytes: a whole list of some thousand hosts.
-pub const LONGEST: usize = 1 << 20;
+/// Longest line in bytes, by the memory in MB. A whole list is one line of some 160 bytes a host, and must fit in however
+/// many hosts there are; what never ends must not fill the memory. An eighth holds a hundred times the hosts whose tables
+/// fit into the rest.
+pub fn longest(memory_mb: u64) -> usize {
+    usize::try_from(memory_mb.saturating_mul(1 << 20) / 8).unwrap_or(usize::MAX).max(1 << 20)
+}
 
 /// A number comes every second; without a whole line for this long the service is silent.
 pub const SILENT: Micros = 2_200_000;
@@ -30,8 +34,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum FeedError {
     /// No line ends within the bound.
-    #[error("a line longer than {LONGEST} bytes")]
-    Endless,
+    #[error("a line longer than {0} bytes")]
+    Endless(usize),
     /// A whole line that is neither a number nor an event.
     #[error("a line that is no event: {0}")]
     Malformed(#[from] serde_json::Error),
@@ -118,20 +122,41 @@
     Event(Entry),
 }
 
-/// Takes one whole line off the front of `buffer`; a line without its end stays.
-///
-/// # Errors
-/// [`FeedError`]: the connection is of no further use.
-pub fn line(buffer: &mut BytesMut) -> Result<Option<Line>, FeedError> {
-    let Some(end) = buffer.iter().position(|b| *b == b'\n') else {
-        return if buffer.len() > LONGEST { Err(FeedError::Endless) } else { Ok(None) };
-    };
-    let line = buffer.split_to(end + 1);
-    let text = line[..end].trim_ascii();
-    if text.iter().all(u8::is_ascii_digit) && !text.is_empty() {
-        return Ok(Some(Line::Last(serde_json::from_slice(text)?)));
+/// Takes whole lines off the bytes of one connection.
+#[derive(Debug)]
+pub struct Lines {
+    longest: usize,
+    /// Bytes at the front in which no line ends.
+    searched: usize,
+}
+
+impl Lines {
+    /// No line is longer than so many bytes.
+    pub fn new(longest: usize) -> Lines {
+        Lines { longest, searched: 0 }
+    }
+
+    /// Takes one whole line off the front of `buffer`, to which bytes are only added between two calls; a line without
+    /// its end stays. Danger: a whole list comes in many reads. Looked through from its start at each, it costs the
+    /// square of its length.
+    ///
+    /// # Errors
+    /// [`FeedError`]: the connection is of no further use.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Line>, FeedError> {
+        let fresh = buffer.get(self.searched..).unwrap_or_default();
+        let Some(end) = fresh.iter().position(|b| *b == b'\n').map(|end| self.searched + end) else {
+            self.searched = buffer.len();
+            let endless = buffer.len() > self.longest;
+            return if endless { Err(FeedError::Endless(self.longest)) } else { Ok(None) };
+        };
+        self.searched = 0;
+        let line = buffer.split_to(end + 1);
+        let text = line[..end].trim_ascii();
+        if text.iter().all(u8::is_ascii_digit) && !text.is_empty() {
+            return Ok(Some(Line::Last(serde_json::from_slice(text)?)));
+        }
+        Ok(Some(Line::Event(serde_json::from_slice(text)?)))
     }
-    Ok(Some(Line::Event(serde_json::from_slice(text)?)))
 }
 
 /// What to do about a line, by its number and the last one held.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use peppercove::Micros;
 use peppercove::wire::Shape;
 use peppercove_platform::Bounds;
-use peppercove_platform::feed::{Entry, Line, line};
+use peppercove_platform::feed::{Entry, Line, Lines};
 use peppercove_platform::wire::{Kind, Message, code, decode};
 
 pub const S: Micros = 1_000_000;
@@ -44,7 +44,7 @@
 }
 
 pub fn entry(text: &str) -> Entry {
-    match line(&mut BytesMut::from(format!("{text}\n").as_str())) {
+    match Lines::new(usize::MAX).next(&mut BytesMut::from(format!("{text}\n").as_str())) {
         Ok(Some(Line::Event(entry))) => entry,
         other => panic!("{other:?}"),
     }
--- a/crates/platform/tests/feed.rs
+++ b/crates/platform/tests/feed.rs
@@ -1,7 +1,9 @@
 //! Lines of the journal service, and how soon it is called again.
 
 use bytes::BytesMut;
-use peppercove_platform::feed::{Entry, FeedError, Line, SILENT, State, Step, ask_again, line, step};
+use peppercove_platform::feed::{
+    Entry, FeedError, Line, Lines, SILENT, State, Step, ask_again, longest, step,
+};
 
 #[test]
 fn whole_lines_alone_are_read_and_a_torn_one_stays() {
@@ -9,6 +11,8 @@
         \"addr\":\"10.1.0.9:5070\",\"zone\":\"east\",\"kind\":\"std\",\"cell\":2,\"state\":\"leaving\",\
         \"weight\":4,\"started_ms\":0,\"room\":[1.5,-2]}]}}\n{\"pos\":4";
     let mut buffer = BytesMut::from(text);
+    let mut lines = Lines::new(longest(64));
+    let mut line = |buffer: &mut BytesMut| lines.next(buffer);
     assert_eq!(line(&mut buffer).expect("a number"), Some(Line::Last(41)));
     let Ok(Some(Line::Event(entry))) = line(&mut buffer) else { panic!("an event") };
     let host = &entry.hosts.as_ref().expect("hosts").servers[0];
@@ -40,3 +44,41 @@
     }
     assert!(ask_again(0, u64::MAX).iter().all(|wait| *wait > 0), "never without a pause");
 }
+
+/// Danger: a bound that does not follow the memory closes every connection that brings a whole list of 13,000 hosts, and
+/// a scheduler of that fleet never has a list.
+#[test]
+fn a_whole_list_of_13000_hosts_is_one_line_however_it_is_cut_and_an_endless_one_is_not() {
+    let host = |i: u64| {
+        format!(
+            "{{\"id\":\"s-{i:08x}\",\"addr\":\"10.{}.{}.9:5070\",\"zone\":\"zone-{}\",\"kind\":\"std\",\"cell\":{},\
+             \"state\":\"active\",\"weight\":4,\"started_ms\":1796139757000,\"room\":[15.25,30.5]}}",
+            i / 250,
+            i % 250,
+            i % 44,
+            i / 40
+        )
+    };
+    let hosts: Vec<String> = (0..13_000).map(host).collect();
+    let event = "{\"pos\":1,\"hosts\":{\"version\":1,\"full\":true,\"servers\":[";
+    let text = format!("{event}{}]}}}}\n7\n", hosts.join(","));
+    assert!(text.len() > 1 << 20, "longer than what any memory is let off: {}", text.len());
+    let (mut lines, mut buffer) = (Lines::new(longest(64)), BytesMut::new());
+    let mut read = Vec::new();
+    for part in text.as_bytes().chunks(64 << 10) {
+        buffer.extend_from_slice(part);
+        while let Some(line) = lines.next(&mut buffer).expect("within the bound") {
+            read.push(line);
+        }
+    }
+    let [Line::Event(entry), Line::Last(7)] = &read[..] else { panic!("the list, then the number") };
+    assert_eq!(entry.hosts.as_ref().map(|h| h.servers.len()), Some(13_000));
+
+    let (mut lines, mut buffer) = (Lines::new(longest(8)), BytesMut::new());
+    let end = (0..2_000).find_map(|_| {
+        buffer.extend_from_slice(&[b'7'; 1 << 10]);
+        lines.next(&mut buffer).err()
+    });
+    assert!(matches!(end, Some(FeedError::Endless(_))));
+    assert!(buffer.len() <= (1 << 20) + (1 << 10), "no more of it is kept than the bound");
+}
--- a/crates/serve/src/feed.rs
+++ b/crates/serve/src/feed.rs
@@ -3,7 +3,7 @@
 use crate::shell::Shell;
 use bytes::BytesMut;
 use peppercove_platform::Input;
-use peppercove_platform::feed::{FeedError, Line, SILENT, Step, line, step};
+use peppercove_platform::feed::{FeedError, Line, Lines, SILENT, Step, step};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,6 +78,7 @@
         return End::Broken(error);
     }
     let mut buffer = BytesMut::new();
+    let mut lines = Lines::new(shell.longest_line);
     let mut answered = false;
     // Danger: bytes that come without ever ending a line are no sign of life.
     let silent_for = Duration::from_micros(SILENT);
@@ -98,7 +99,7 @@
         let mut entries = Vec::new();
         let mut numbered = false;
         let end = loop {
-            match line(&mut buffer) {
+            match lines.next(&mut buffer) {
                 Ok(Some(line)) => {
                     silent_at = Instant::now() + silent_for;
                     match (step(shell.pos.get(), &line), line) {
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use peppercove::{Micros, Scheduler};
 use peppercove_platform::config::Config;
+use peppercove_platform::feed::longest;
 use peppercove_platform::wire::Message;
 use peppercove_platform::{Bounds, Counters, Desk, Input, LinkId, Output, OwnerId};
 use peppercove_runtime::{Budget, Clock, Timer};
@@ -35,6 +36,8 @@
     /// How long set-ups have their turns before what arrived meanwhile is looked at.
     slice: Duration,
     pub(crate) dial_timeout: Duration,
+    /// Longest line of the journal service, bytes.
+    pub(crate) longest_line: usize,
     /// The list comes by itself, without a call of the module.
     pub(crate) pushed: bool,
     /// Where the journal service is, and the last of its events that is held.
@@ -73,6 +76,7 @@
             waiting: Notify::new(),
             slice,
             dial_timeout,
+            longest_line: longest(config.limits.memory_mb),
             pushed,
             journal: Cell::new(config.journal),
             pos: Cell::new(config.known.pos),
