A bounded view of a large fleet stands around the decision module; below its size nothing changes

At 13,000 machines each scheduler looks at all of them for each bind and keeps state, connections and reports of all. A view (crates/fleet) shows the module some 1,024 of them: each machine has numbered slots, the owner of a slot follows from the machine's id, the slot and the number of schedulers (jump consistent hash), so that it needs no word of others and no list. Beside these: homes of the services in use, the rack of a keyed task that may have run, and, while a task waits that no machine in view can take, the rest of the fleet in parts.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,9 +8,11 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Parser, Subcommand};
+use peppercove::Scheduler;
 use peppercove_config::{Config, LogFormat, SETTINGS, embedded_default, schema};
 use peppercove_controller::Controller;
 use peppercove_core::{Limits, record};
+use peppercove_fleet::View;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::task::LocalSet;
@@ -305,7 +307,8 @@
     let head: record::Head =
         serde_json::from_str(first).context("the first line is not the head of a record")?;
     let limits: Limits = peppercove_controller::limits(&config, head.life);
-    let scheduler = peppercove::Scheduler::new(head.module(&config.module), head.seed);
+    let settings = head.module(&config.module);
+    let scheduler = View::new(Scheduler::new(settings.clone(), head.seed), &settings);
     record::replay(&head, rest, scheduler, limits, |line, outputs| {
         for output in outputs {
             println!("{} {output:?}", line.at);
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -10,6 +10,7 @@
 use peppercove_core::evidence::Entry;
 use peppercove_core::{Answer, Core, End, Input, Job, JobId, JobState, Output, record};
 use peppercove_exchange::{frame, limits};
+use peppercove_fleet::{Decider, View};
 use peppercove_metrics as names;
 use peppercove_protocol::node::ToNode;
 use peppercove_protocol::rpc;
@@ -33,7 +34,7 @@
     pub(crate) config: Config,
     pub(crate) life: u64,
     pub(crate) clock: Clock,
-    pub(crate) core: RefCell<Core<Scheduler>>,
+    pub(crate) core: RefCell<Core<Decider>>,
     pub(crate) links: RefCell<BTreeMap<MachineId, LinkHandle>>,
     pub(crate) sessions: RefCell<Sessions>,
     /// The module asked for the list.
@@ -57,7 +58,8 @@
         // Lives only have to differ: the time of the start, scattered so that two in one microsecond do as well.
         let life = clock.now() ^ (fastrand::u64(..) & 0xfff) << 52;
         let (limits, began) = (limits(&config, life), clock.now());
-        let mut core = Core::new(Scheduler::new(config.module.clone(), seed), limits);
+        let mut core =
+            Core::new(View::new(Scheduler::new(config.module.clone(), seed), &config.module), limits);
         let mut recovered = Vec::new();
         let journal = match &config.journal {
             Some(path) => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,12 @@
     fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action>;
 }
 
+impl<D: Decide + ?Sized> Decide for Box<D> {
+    fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        (**self).decide(now, events)
+    }
+}
+
 impl Decide for Scheduler {
     fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.handle(now, events)
--- a/crates/core/src/nodes.rs
+++ b/crates/core/src/nodes.rs
@@ -146,6 +146,7 @@
             _ => (line.life, started),
         };
         let told = MachineLine {
+            cold_share: None,
             machine: id,
             state: line.state,
             kind: line.kind,
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,14 @@
+//! What the schedulers of one fleet agree on without a word.
+//!
+//! [`View`] stands around the decision module and shows it a bounded part of a large fleet. It decides which machines a
+//! scheduler works with and what part of a cold machine's ramp is its own; where a task goes is the module's.
+//!
+//! May use: the decision module's interface and the core's `Decide`. Must not know: sockets, clocks, files, frames.
+#![forbid(unsafe_code)]
+
+mod places;
+mod slots;
+mod view;
+
+pub use slots::{COLD_SLOTS, cold_share, owner};
+pub use view::{Decider, SIZE, View};
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,605 @@
+//! A bounded view: the machines of a large fleet that one scheduler works with.
+//!
+//! In the view are
+//! - the machines that have one of the first slots with this scheduler as owner ([`crate::slots`]): so many slots that each
+//!   view has about [`SIZE`] machines, some of each kind in each zone, and that each machine is in several views;
+//! - the homes of the services whose tasks came lately: the module ranks homes over the whole fleet, and all schedulers
+//!   come to the same ones only if they see them;
+//! - the rack of a keyed task that may have run and may be sent on within its rack alone;
+//! - while a task waits that no machine in view can take, a part of the rest, and from time to time the next part.
+//!
+//! What is outside is not told to the module. What leaves is told as gone, so that nothing new is sent there; tasks that
+//! stand there go on to be counted at their place.
+
+use crate::places::{Places, place};
+use crate::slots::{cold_share, owner};
+use peppercove::{
+    Action, Event, Group, ListScope, MachineId, MachineLine, MachineState, Micros, Outcome, Repeat,
+    RequestId, Scheduler, ServiceId, Settings, home_rank,
+};
+use peppercove_core::Decide;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+/// Machines of a view, beside those that each zone and kind has at least. A fleet that is no larger is seen whole.
+pub const SIZE: u64 = 1024;
+
+/// Homes of a service that are kept in view: four times those that the module begins with, which ranks as many again as
+/// stand-ins and learns to use more where starts are in time.
+const HOMES: usize = 8;
+
+/// Services whose homes are remembered, for each of those whose homes are in view.
+const REMEMBERED: u64 = 8;
+
+/// What decides in a process: the module, and the view around it.
+pub type Decider = View<Scheduler>;
+
+/// Homes of a service, best first, and when a task of it came last.
+#[derive(Debug)]
+struct Homes {
+    kind: Option<u8>,
+    best: Vec<(f64, MachineId)>,
+    used_at: Micros,
+    in_view: bool,
+}
+
+/// A machine as the list names it.
+#[derive(Debug)]
+struct Known {
+    line: MachineLine,
+    /// One of its first slots is this scheduler's.
+    own: bool,
+}
+
+/// A request without an answer.
+#[derive(Debug)]
+struct Open {
+    class: u16,
+    waits: bool,
+}
+
+/// The decision module with a bounded view of the fleet.
+#[derive(Debug)]
+pub struct View<D> {
+    module: D,
+    settings: Settings,
+    size: u64,
+    now: Micros,
+    version: u64,
+    /// The view is bounded: the fleet is larger than it.
+    bounded: bool,
+    /// Until then others may not know yet that the views are bounded, or are no more.
+    unsettled_until: Micros,
+    /// As the list names them; a view that is not bounded is all of them.
+    fleet: BTreeMap<MachineId, Known>,
+    places: Places,
+    /// What the module has been told of as it is.
+    shown: BTreeSet<MachineId>,
+    homes: BTreeMap<ServiceId, Homes>,
+    /// Homes in view, by how many services have them there.
+    home_of: BTreeMap<MachineId, u32>,
+    /// Homes that the last list took out of view, to be told.
+    left_homes: Vec<MachineId>,
+    /// Racks that are in view whole, until when.
+    racks: BTreeMap<(u8, u16), Micros>,
+    /// The part of the rest that is in view, and where the next one begins.
+    more: BTreeSet<MachineId>,
+    next_more: MachineId,
+    more_at: Micros,
+    open: BTreeMap<RequestId, Open>,
+    /// Machines outside the view where tasks stand that were handed over before the list named them.
+    unplaced: BTreeSet<MachineId>,
+}
+
+impl<D: Decide> View<D> {
+    /// Around a module that has just started with these settings.
+    pub fn new(module: D, settings: &Settings) -> View<D> {
+        View::with_size(module, settings, SIZE)
+    }
+
+    /// With views of another size, for tests and measurements.
+    pub fn with_size(module: D, settings: &Settings, size: u64) -> View<D> {
+        View {
+            module,
+            settings: settings.clone(),
+            size,
+            now: 0,
+            version: 0,
+            bounded: false,
+            unsettled_until: 0,
+            fleet: BTreeMap::new(),
+            places: Places::default(),
+            shown: BTreeSet::new(),
+            homes: BTreeMap::new(),
+            home_of: BTreeMap::new(),
+            left_homes: Vec::new(),
+            racks: BTreeMap::new(),
+            more: BTreeSet::new(),
+            next_more: MachineId(0),
+            more_at: 0,
+            open: BTreeMap::new(),
+            unplaced: BTreeSet::new(),
+        }
+    }
+
+    /// The view is smaller than the fleet.
+    pub fn is_bounded(&self) -> bool {
+        self.bounded
+    }
+
+    /// Machines that the module works with.
+    pub fn len(&self) -> usize {
+        if self.bounded { self.shown.len() } else { self.fleet.len() }
+    }
+
+    /// Nothing is in view.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether the module works with a machine.
+    pub fn shows(&self, machine: MachineId) -> bool {
+        if self.bounded { self.shown.contains(&machine) } else { self.fleet.contains_key(&machine) }
+    }
+
+    /// The module itself.
+    pub fn module(&self) -> &D {
+        &self.module
+    }
+
+    // ---- What is in view ----
+
+    fn is_in_view(&self, known: &Known) -> bool {
+        let line = &known.line;
+        known.own
+            || self.home_of.contains_key(&line.machine)
+            || self.more.contains(&line.machine)
+            || self.racks.contains_key(&(line.zone, line.rack))
+    }
+
+    /// One of the first slots of the machine is this scheduler's.
+    fn is_own(&self, line: &MachineLine) -> bool {
+        let (own, all) = (self.settings.own_number, self.settings.schedulers);
+        let slots = self.places.slots(place(line));
+        slots == u32::MAX || (0..slots).any(|slot| owner(line.machine, slot, all) == own)
+    }
+
+    /// The line as the module is told it. Danger: the list named the room at its own time; told again later, it would
+    /// erase what the machine itself has said since.
+    fn told(&self, line: &MachineLine, fresh: bool) -> MachineLine {
+        let (own, all) = (self.settings.own_number, self.settings.schedulers);
+        let bears = self.settings.cold_bears.max(0.0) as u64;
+        let split = || self.bounded.then(|| cold_share(line.machine, own, all, bears));
+        let cold_share = if self.now < self.unsettled_until { Some(0) } else { split() };
+        let room = if fresh { (line.free_cores, line.free_memory) } else { (None, None) };
+        MachineLine { cold_share, free_cores: room.0, free_memory: room.1, ..line.clone() }
+    }
+
+    /// The module is to send nothing new there, whatever the list says. Its place stays known.
+    fn gone(line: &MachineLine) -> MachineLine {
+        MachineLine { state: MachineState::Gone, free_cores: None, free_memory: None, ..line.clone() }
+    }
+
+    /// What the module has to be told of these machines so that it works with those in view and no others.
+    fn changes(&mut self, machines: impl IntoIterator<Item = MachineId>) -> Vec<MachineLine> {
+        let mut lines = Vec::new();
+        for machine in machines {
+            let Some(known) = self.fleet.get(&machine) else { continue };
+            let wanted = self.is_in_view(known);
+            if wanted && !self.shown.contains(&machine) {
+                lines.push(self.told(&known.line, false));
+                self.shown.insert(machine);
+            } else if !wanted && self.shown.remove(&machine) {
+                lines.push(Self::gone(&known.line));
+            }
+        }
+        lines
+    }
+
+    /// Tells the module of these lines, if there are any.
+    fn tell(&self, lines: Vec<MachineLine>, events: &mut Vec<Event>) {
+        if !lines.is_empty() {
+            events.push(Event::MachineList { scope: ListScope::View, version: self.version, lines });
+        }
+    }
+
+    // ---- The list ----
+
+    fn on_list(&mut self, scope: ListScope, version: u64, lines: &[MachineLine], events: &mut Vec<Event>) {
+        let old = version < self.version && scope != ListScope::Cached;
+        if matches!(scope, ListScope::Failed | ListScope::View) || old {
+            events.push(Event::MachineList { scope, version, lines: lines.to_vec() });
+            return;
+        }
+        self.version = version;
+        let (whole, was, first) = (scope != ListScope::Delta, self.bounded, self.fleet.is_empty());
+        let turned = self.take_in(whole, lines);
+        self.bound(first);
+        if !self.bounded && !was {
+            self.unplaced.retain(|machine| !self.fleet.contains_key(machine));
+            let settled = self.now >= self.unsettled_until;
+            let told = |line: &MachineLine| if settled { line.clone() } else { self.told(line, true) };
+            events.push(Event::MachineList { scope, version, lines: lines.iter().map(told).collect() });
+            return;
+        }
+        let moved = self.bounded && self.places.settle(self.size, self.settings.schedulers);
+        if moved || was != self.bounded {
+            let own: Vec<bool> = self.fleet.values().map(|known| self.is_own(&known.line)).collect();
+            self.fleet.values_mut().zip(own).for_each(|(known, own)| known.own = own);
+        }
+        self.keep_homes(&turned);
+        if whole || moved || was != self.bounded {
+            self.tell_whole(scope, version, lines, events);
+            return;
+        }
+        let mut told = Vec::new();
+        for line in lines {
+            let wanted = self.fleet.get(&line.machine).is_some_and(|known| self.is_in_view(known));
+            if wanted {
+                self.shown.insert(line.machine);
+                told.push(self.told(line, true));
+            } else if self.shown.remove(&line.machine) {
+                told.push(Self::gone(line));
+            }
+        }
+        told.extend(self.place_standing());
+        // Passed on also where it tells nothing: the call for the list was answered.
+        events.push(Event::MachineList { scope, version, lines: told });
+        // A service that lost a home has another one now.
+        let mut homes = std::mem::take(&mut self.left_homes);
+        homes.extend(self.home_of.keys());
+        let lines = self.changes(homes);
+        self.tell(lines, events);
+    }
+
+    /// Takes the list in; returns the machines that take tasks now and did not before, or the other way round.
+    fn take_in(&mut self, whole: bool, lines: &[MachineLine]) -> BTreeSet<MachineId> {
+        let mut turned = BTreeSet::new();
+        let ready = |line: &MachineLine| (line.state == MachineState::Ready).then_some(line.kind);
+        let named: BTreeSet<MachineId> = lines.iter().map(|line| line.machine).collect();
+        let unnamed = self.fleet.keys().copied().filter(|machine| whole && !named.contains(machine));
+        // Bounded state: what has left is forgotten; the module knows by itself what it holds there.
+        let gone = lines.iter().filter(|line| line.state == MachineState::Gone).map(|line| line.machine);
+        let left: Vec<MachineId> = unnamed.chain(gone).collect();
+        for line in lines {
+            let own = self.bounded && self.is_own(line);
+            let before = self.fleet.insert(line.machine, Known { line: line.clone(), own });
+            let before = before.as_ref().map(|known| &known.line);
+            if before.and_then(ready) != ready(line) {
+                turned.insert(line.machine);
+            }
+            self.places.change(before, Some(line));
+        }
+        for machine in left {
+            let before = self.fleet.remove(&machine);
+            self.places.change(before.as_ref().map(|known| &known.line), None);
+            self.more.remove(&machine);
+            turned.insert(machine);
+        }
+        turned
+    }
+
+    /// The view changes as a whole, and the module is told all that is in it.
+    fn tell_whole(&mut self, scope: ListScope, version: u64, fresh: &[MachineLine], events: &mut Vec<Event>) {
+        self.left_homes.clear();
+        let fresh: BTreeSet<MachineId> = fresh.iter().map(|line| line.machine).collect();
+        let in_view = |known: &&Known| !self.bounded || self.is_in_view(known);
+        let told = |known: &Known| self.told(&known.line, fresh.contains(&known.line.machine));
+        let mut lines: Vec<MachineLine> = self.fleet.values().filter(in_view).map(told).collect();
+        self.shown = lines.iter().filter(|_| self.bounded).map(|line| line.machine).collect();
+        lines.extend(self.place_standing());
+        // What is whole to the list is whole to the module: what is not named is gone for it.
+        let scope = if scope == ListScope::Cached { scope } else { ListScope::Full };
+        events.push(Event::MachineList { scope, version, lines });
+    }
+
+    /// Tasks that were handed over on machines outside the view stand at a place now that the list names them.
+    fn place_standing(&mut self) -> Vec<MachineLine> {
+        let (shown, fleet, bounded) = (&self.shown, &self.fleet, self.bounded);
+        let named =
+            self.unplaced.iter().filter(|m| bounded && !shown.contains(m)).filter_map(|m| fleet.get(m));
+        let lines = named.map(|known| Self::gone(&known.line)).collect();
+        self.unplaced.retain(|machine| !fleet.contains_key(machine));
+        lines
+    }
+
+    /// The view is bounded where the fleet is larger than it, and no more where it is smaller by a quarter.
+    fn bound(&mut self, first: bool) {
+        let (ready, least) = (self.places.ready(), self.places.least(self.size));
+        let bounded = if self.bounded { ready > least / 4 * 3 } else { ready > least };
+        if bounded == self.bounded {
+            return;
+        }
+        self.bounded = bounded;
+        // Danger: the ramp of a cold machine is split in one way by those whose views are bounded and in another by the
+        // others, and together they would push it over. Until all have been told, nothing of it is used.
+        if !first {
+            let window = self.settings.fall_window + self.settings.fall_window / 4;
+            self.unsettled_until = self.now + self.settings.ask_every + window;
+        }
+        self.shown.clear();
+        self.more.clear();
+        self.racks.clear();
+        self.homes.clear();
+        self.home_of.clear();
+        self.open.clear();
+    }
+
+    /// Others know by now how a cold machine's ramp is split.
+    fn settle(&mut self, events: &mut Vec<Event>) {
+        if self.unsettled_until == 0 || self.now < self.unsettled_until {
+            return;
+        }
+        self.unsettled_until = 0;
+        let shown = |known: &&Known| !self.bounded || self.shown.contains(&known.line.machine);
+        let lines = self.fleet.values().filter(shown).map(|known| self.told(&known.line, false)).collect();
+        self.tell(lines, events);
+    }
+
+    // ---- Homes ----
+
+    fn cores(&self, line: &MachineLine) -> f64 {
+        self.settings.kinds.get(usize::from(line.kind)).map_or(0.0, |kind| kind.cores)
+    }
+
+    /// The homes of a service, best first.
+    fn best(&self, service: ServiceId, kind: Option<u8>) -> Vec<(f64, MachineId)> {
+        let usable = |line: &&MachineLine| {
+            line.state == MachineState::Ready && kind.is_none_or(|kind| kind == line.kind)
+        };
+        let mut best: Vec<(f64, MachineId)> = Vec::with_capacity(HOMES + 1);
+        for line in self.fleet.values().map(|known| &known.line).filter(usable) {
+            let rank = home_rank(service, line.machine, self.cores(line));
+            if best.len() < HOMES || best.last().is_some_and(|(worst, _)| rank > *worst) {
+                let at = best.partition_point(|(better, _)| *better >= rank);
+                best.insert(at, (rank, line.machine));
+                best.truncate(HOMES);
+            }
+        }
+        best
+    }
+
+    /// A task of the service came: its homes are in view, and those of services that had none for longest are not.
+    fn use_homes(&mut self, service: ServiceId, class: u16) -> Vec<MachineLine> {
+        let now = self.now;
+        if let Some(homes) = self.homes.get_mut(&service) {
+            homes.used_at = now;
+            if homes.in_view {
+                return Vec::new();
+            }
+        } else {
+            let kind = self.settings.classes.get(usize::from(class)).and_then(|class| class.kind);
+            let best = self.best(service, kind);
+            self.homes.insert(service, Homes { kind, best, used_at: now, in_view: false });
+        }
+        let mut changed = self.put_in_view(service, true);
+        let most = (self.size / HOMES as u64).max(1);
+        let oldest = |homes: &BTreeMap<ServiceId, Homes>, in_view: bool| {
+            let mut of = homes.iter().filter(|(s, h)| (h.in_view || !in_view) && **s != service);
+            let first = of.next()?;
+            Some(*of.fold(first, |a, b| if b.1.used_at < a.1.used_at { b } else { a }).0)
+        };
+        while self.homes.values().filter(|h| h.in_view).count() as u64 > most
+            && let Some(service) = oldest(&self.homes, true)
+        {
+            changed.extend(self.put_in_view(service, false));
+        }
+        while self.homes.len() as u64 > most * REMEMBERED
+            && let Some(service) = oldest(&self.homes, false)
+        {
+            changed.extend(self.put_in_view(service, false));
+            self.homes.remove(&service);
+        }
+        self.changes(changed)
+    }
+
+    /// Counts the homes of a service in, or out.
+    fn put_in_view(&mut self, service: ServiceId, in_view: bool) -> Vec<MachineId> {
+        let Some(homes) = self.homes.get_mut(&service).filter(|homes| homes.in_view != in_view) else {
+            return Vec::new();
+        };
+        homes.in_view = in_view;
+        let machines: Vec<MachineId> = homes.best.iter().map(|(_, machine)| *machine).collect();
+        for machine in &machines {
+            let count = self.home_of.entry(*machine).or_insert(0);
+            *count = if in_view { *count + 1 } else { count.saturating_sub(1) };
+            if *count == 0 {
+                self.home_of.remove(machine);
+            }
+        }
+        machines
+    }
+
+    /// Homes follow the list: a service that lost one has the next best one, and a new machine may be better.
+    fn keep_homes(&mut self, turned: &BTreeSet<MachineId>) {
+        if turned.is_empty() {
+            return;
+        }
+        let lines = turned.iter().filter_map(|machine| self.fleet.get(machine)).map(|known| &known.line);
+        let risen: Vec<&MachineLine> = lines.filter(|line| line.state == MachineState::Ready).collect();
+        let stale = |service: &ServiceId, homes: &Homes| {
+            let worst = homes.best.last().filter(|_| homes.best.len() == HOMES).map(|(worst, _)| *worst);
+            let better = |line: &&MachineLine| {
+                homes.kind.is_none_or(|kind| kind == line.kind)
+                    && worst.is_none_or(|w| home_rank(*service, line.machine, self.cores(line)) > w)
+            };
+            homes.best.iter().any(|(_, machine)| turned.contains(machine)) || risen.iter().any(better)
+        };
+        let stale: Vec<ServiceId> = self.homes.iter().filter(|(s, h)| stale(s, h)).map(|(s, _)| *s).collect();
+        let mut left = Vec::new();
+        for service in stale {
+            let in_view = self.homes.get(&service).is_some_and(|homes| homes.in_view);
+            left.extend(self.put_in_view(service, false));
+            if !in_view {
+                // Worked out again when a task of it comes.
+                self.homes.remove(&service);
+                continue;
+            }
+            let kind = self.homes.get(&service).and_then(|homes| homes.kind);
+            let best = self.best(service, kind);
+            if let Some(homes) = self.homes.get_mut(&service) {
+                homes.best = best;
+            }
+            self.put_in_view(service, true);
+        }
+        self.left_homes = left;
+    }
+
+    // ---- What a task needs beyond the view ----
+
+    /// Danger: a keyed task that may have run goes on within its rack alone, and one machine of it may be all that the
+    /// view has.
+    fn bring_rack(&mut self, request: RequestId, machine: MachineId) -> Vec<MachineLine> {
+        let class =
+            self.open.get(&request).and_then(|open| self.settings.classes.get(usize::from(open.class)));
+        let Some(Repeat::Keyed { group: Group::Rack, window }) = class.map(|class| class.repeat) else {
+            return Vec::new();
+        };
+        let Some(rack) = self.fleet.get(&machine).map(|known| (known.line.zone, known.line.rack)) else {
+            return Vec::new();
+        };
+        self.racks.insert(rack, self.now + window);
+        let machines = self.in_racks(&[rack]);
+        self.changes(machines)
+    }
+
+    fn in_racks(&self, racks: &[(u8, u16)]) -> Vec<MachineId> {
+        let lines = self.fleet.values().map(|known| &known.line);
+        lines.filter(|line| racks.contains(&(line.zone, line.rack))).map(|line| line.machine).collect()
+    }
+
+    fn drop_racks(&mut self) -> Vec<MachineLine> {
+        let over: Vec<(u8, u16)> =
+            self.racks.iter().filter(|(_, until)| **until <= self.now).map(|(rack, _)| *rack).collect();
+        if over.is_empty() {
+            return Vec::new();
+        }
+        self.racks.retain(|rack, _| !over.contains(rack));
+        let machines = self.in_racks(&over);
+        self.changes(machines)
+    }
+
+    /// Danger: a task that no machine in view can take would be turned away while others have room. While one waits, a
+    /// part of the rest as large as the view is looked at beside it, and then the next part; the whole fleet in turn.
+    fn look_further(&mut self) -> Vec<MachineLine> {
+        let waits = self.open.values().any(|open| open.waits);
+        let due = self.now >= self.more_at;
+        if waits && due {
+            let pause = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / 8;
+            self.more_at = self.now + pause.max(self.settings.tick);
+            let before = std::mem::take(&mut self.more);
+            let outside =
+                |(machine, known): (&MachineId, &Known)| (!self.is_in_view(known)).then_some(*machine);
+            let after = self.fleet.range((Bound::Excluded(self.next_more), Bound::Unbounded));
+            let rest = self.fleet.range(..=self.next_more);
+            let more = after.chain(rest).filter_map(outside).take(self.size as usize);
+            let more: Vec<MachineId> = more.collect();
+            self.next_more = more.last().copied().unwrap_or(self.next_more);
+            self.more = more.into_iter().collect();
+            let changed: BTreeSet<MachineId> = before.union(&self.more).copied().collect();
+            self.changes(changed)
+        } else if !waits && !self.more.is_empty() && self.now >= self.more_at + self.settings.ask_every {
+            let before = std::mem::take(&mut self.more);
+            self.changes(before)
+        } else {
+            Vec::new()
+        }
+    }
+
+    // ---- What happened ----
+
+    fn on_event(&mut self, event: &Event, events: &mut Vec<Event>) {
+        match event {
+            Event::MachineList { scope, version, lines } => {
+                return self.on_list(*scope, *version, lines, events);
+            }
+            Event::Place(ask) if self.bounded => {
+                self.open.entry(ask.request).or_insert(Open { class: ask.class, waits: false });
+                let lines = self.use_homes(ask.service, ask.class);
+                self.tell(lines, events);
+            }
+            Event::Ended { request, machine, outcome, over: false, .. } if self.bounded => {
+                let never_ran = matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
+                if !never_ran {
+                    let lines = self.bring_rack(*request, *machine);
+                    self.tell(lines, events);
+                }
+            }
+            _ => {}
+        }
+        events.push(event.clone());
+        match event {
+            Event::Standing { machine, .. } if !self.fleet.contains_key(machine) => {
+                self.unplaced.insert(*machine);
+            }
+            Event::Standing { machine, .. } if self.bounded && !self.shown.contains(machine) => {
+                let line = self.fleet.get(machine).map(|known| Self::gone(&known.line));
+                self.tell(line.into_iter().collect(), events);
+            }
+            Event::Ended { machine, .. } => {
+                self.unplaced.remove(machine);
+            }
+            _ => {}
+        }
+    }
+
+    /// Which requests wait for a machine, from what happened and what the module made of it.
+    fn follow(&mut self, events: &[Event], actions: &[Action]) {
+        for event in events {
+            match event {
+                Event::Placed { request, .. }
+                | Event::Ended { request, over: true, .. }
+                | Event::Unwanted(request) => {
+                    self.open.remove(request);
+                }
+                Event::Place(ask) => self.waits(ask.request, true),
+                Event::Ended { request, .. } => self.waits(*request, true),
+                _ => {}
+            }
+        }
+        for action in actions {
+            match action {
+                Action::Bind { request, .. } => self.waits(*request, false),
+                Action::Refuse { request, .. } | Action::Fail(request) => {
+                    self.open.remove(request);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn waits(&mut self, request: RequestId, waits: bool) {
+        if let Some(open) = self.open.get_mut(&request) {
+            open.waits = waits;
+        }
+    }
+}
+
+impl<D: Decide> Decide for View<D> {
+    fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        self.now = self.now.max(now);
+        let news =
+            |e: &Event| matches!(e, Event::MachineList { .. } | Event::Standing { .. } | Event::Ended { .. });
+        if !self.bounded && self.unsettled_until == 0 && !events.iter().any(news) {
+            return self.module.decide(now, events);
+        }
+        let mut passed = Vec::with_capacity(events.len() + 2);
+        self.settle(&mut passed);
+        if self.bounded {
+            let lines = self.drop_racks();
+            self.tell(lines, &mut passed);
+        }
+        for event in events {
+            self.on_event(event, &mut passed);
+        }
+        if self.bounded {
+            let lines = self.look_further();
+            self.tell(lines, &mut passed);
+        }
+        let actions = self.module.decide(now, &passed);
+        if self.bounded {
+            self.follow(events, &actions);
+        }
+        actions
+    }
+}
--- a/crates/kernel/src/world.rs
+++ b/crates/kernel/src/world.rs
@@ -15,8 +15,9 @@
 use peppercove_config::Config;
 use peppercove_core::evidence::Entry;
 use peppercove_core::nodes::id_of;
-use peppercove_core::{Core, Counters, Input, Output};
+use peppercove_core::{Core, Counters, Decide, Input, Output};
 use peppercove_exchange::{Retry, limits};
+use peppercove_fleet::View;
 use peppercove_protocol::list::FromList;
 use peppercove_protocol::node::{FromNode, Party, ToNode};
 use peppercove_standins::model::{Model, Shared};
@@ -77,7 +78,7 @@
 
 /// What a kill ends.
 struct Process {
-    core: Core<Scheduler>,
+    core: Core<Box<dyn Decide>>,
     life: u64,
     links: BTreeMap<MachineId, Link>,
     armed: Option<Micros>,
@@ -96,8 +97,12 @@
     armed: Option<Micros>,
 }
 
+/// Makes what decides in a controller that starts, from its settings and seed.
+pub type MakeDecider<'a> = &'a dyn Fn(&Settings, u64) -> Box<dyn Decide>;
+
 pub(crate) struct World<'a> {
     script: &'a Script,
+    decider: MakeDecider<'a>,
     seed: u64,
     now: Micros,
     set: u64,
@@ -126,7 +131,15 @@
 
 /// Plays a day and gives what crossed the network as well, for people who look into a breach.
 pub fn play_seen(script: &Script, seed: u64) -> (Report, Vec<Event>) {
-    let mut world = World::new(script, seed);
+    let module = |settings: &Settings, seed| -> Box<dyn Decide> {
+        Box::new(View::new(Scheduler::new(settings.clone(), seed), settings))
+    };
+    play_with(script, seed, &module)
+}
+
+/// Plays a day with other deciders than the program's own.
+pub fn play_with(script: &Script, seed: u64, decider: MakeDecider<'_>) -> (Report, Vec<Event>) {
+    let mut world = World::new(script, seed, decider);
     world.run();
     let report = world.report();
     (report, world.book)
@@ -136,7 +149,7 @@
 const MOST_EVENTS: u64 = 200_000_000;
 
 impl<'a> World<'a> {
-    fn new(script: &'a Script, seed: u64) -> World<'a> {
+    fn new(script: &'a Script, seed: u64, decider: MakeDecider<'a>) -> World<'a> {
         let micros = |d: Duration| d.as_micros() as Micros;
         let shared = Shared::default();
         let mut roster = Roster::new(micros(script.list_late), micros(script.list_refresh).max(1_000));
@@ -161,6 +174,7 @@
         let desks = (0..script.controllers).map(|i| Desk::new(seed, i)).collect();
         World {
             script,
+            decider,
             seed,
             now: 0,
             set: 0,
@@ -309,7 +323,7 @@
         let life = xxhash_rust::xxh3::xxh3_64(format!("{seat} {}", s.starts).as_bytes());
         let config = &s.config;
         let seed = config.seed.unwrap_or(0).wrapping_add(s.starts << 32);
-        let mut core = Core::new(Scheduler::new(config.module.clone(), seed), limits(config, life));
+        let mut core = Core::new((self.decider)(&config.module, seed), limits(config, life));
         core.recover(wall(now), &s.journal);
         if config.journal.is_some() {
             s.journal = core.snapshot();
--- /dev/null
+++ b/crates/kernel/tests/view.rs
@@ -0,0 +1,52 @@
+//! Below the size of a view, the view around the decision module changes nothing: event by event, the same actions.
+
+use peppercove::{Action, Event, Micros, Scheduler};
+use peppercove_core::Decide;
+use peppercove_fleet::View;
+use peppercove_kernel::hunt::Plan;
+use peppercove_kernel::{Script, play_with, shipped};
+use std::cell::Cell;
+use std::path::Path;
+
+/// The module alone and the module in its view, told the same.
+struct Both<'a> {
+    alone: Scheduler,
+    viewed: View<Scheduler>,
+    events: &'a Cell<u64>,
+}
+
+impl Decide for Both<'_> {
+    fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
+        let actions = self.alone.decide(now, events);
+        assert_eq!(self.viewed.decide(now, events), actions, "at {now}, told {events:?}");
+        assert!(!self.viewed.is_bounded());
+        self.events.set(self.events.get() + events.len() as u64);
+        actions
+    }
+}
+
+fn compare(script: &Script, seed: u64) -> u64 {
+    // Controllers of the day add to one count, which outlives them.
+    let events: &'static Cell<u64> = Box::leak(Box::new(Cell::new(0)));
+    let both = |settings: &peppercove::Settings, seed| -> Box<dyn Decide> {
+        let alone = Scheduler::new(settings.clone(), seed);
+        let viewed = View::new(Scheduler::new(settings.clone(), seed), settings);
+        Box::new(Both { alone, viewed, events })
+    };
+    let (report, _) = play_with(script, seed, &both);
+    assert!(report.is_clean(), "seed {seed}: {:#?}", report.verdict.breaches);
+    events.get()
+}
+
+#[test]
+fn below_the_size_of_a_view_each_event_gets_the_same_actions() {
+    let random: u64 = (4_000_000..4_000_020).map(|seed| compare(&Plan::random(seed).script(), seed)).sum();
+    let shipped: u64 = shipped()
+        .iter()
+        .map(|(name, text)| {
+            let script = Script::parse(text, Path::new(".")).unwrap_or_else(|e| panic!("{name}: {e}"));
+            compare(&script, script.seed)
+        })
+        .sum();
+    assert!(random > 3_000 && shipped > 2_000, "{random} and {shipped} events were compared");
+}
--- a/crates/serve/src/shell.rs
+++ b/crates/serve/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use peppercove::{Micros, Scheduler};
+use peppercove_fleet::{Decider, View};
 use peppercove_platform::config::Config;
 use peppercove_platform::feed::longest;
 use peppercove_platform::wire::Message;
@@ -25,7 +26,7 @@
 pub(crate) type Dial = fn(Rc<Shell>, LinkId, SocketAddr, Rc<Connection>);
 
 pub(crate) struct Shell {
-    desk: RefCell<Desk<Scheduler>>,
+    desk: RefCell<Desk<Decider>>,
     pub(crate) clock: Clock,
     timer: Timer,
     bounds: Bounds,
@@ -66,6 +67,7 @@
         let slice = Duration::from_micros(config.settings.tick.max(1));
         let pushed = !config.settings.list_on_request;
         let module = Scheduler::new(config.settings.clone(), config.seed);
+        let module = View::new(module, &config.settings);
         let desk = Desk::new(module, config.settings, config.shape, bounds, config.seed);
         Shell {
             desk: RefCell::new(desk),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -161,7 +161,7 @@
             self.watch_at = Some(self.now + wait / 2 + self.rng.u64(0..=wait / 2));
             return;
         }
-        if scope != ListScope::Cached {
+        if !matches!(scope, ListScope::Cached | ListScope::View) {
             (self.watch_failures, self.watch_at) = (0, None);
         }
         // Danger: a list older than the one held would bring drained machines back.
@@ -170,7 +170,7 @@
         }
         self.version = version;
         self.room_news = true;
-        if scope != ListScope::Delta {
+        if !matches!(scope, ListScope::Delta | ListScope::View) {
             let named: BTreeSet<MachineId> = lines.iter().map(|line| line.machine).collect();
             for machine in self.machines.values_mut() {
                 if !named.contains(&machine.line.machine) {
@@ -453,6 +453,7 @@
         let first = scatter(m.line.machine.0 ^ scatter(m.line.life)) % all;
         let place = (u64::from(self.settings.own_number) + all - first) % all;
         let share = bears / all + u64::from(place < bears % all);
+        let share = m.line.cold_share.map_or(share, u64::from);
         let recent = m.offers.iter().filter(|at| **at + window > self.now).count();
         (recent as u64) < share
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,6 +301,10 @@
     pub free_cores: Option<f64>,
     /// Memory nobody asked for, some time ago.
     pub free_memory: Option<f64>,
+    /// Offers that this scheduler may make there in a window while the machine is cold, where not all schedulers share it;
+    /// else the split among all of them holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_share: Option<u32>,
 }
 
 /// How a list event relates to the list already held.
@@ -312,6 +316,8 @@
     Full,
     /// The whole list as last seen before a restart.
     Cached,
+    /// No news of the list: machines that come into this scheduler's view, or leave it, as gone.
+    View,
     /// A call failed or the subscription broke: the old list stands.
     Failed,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,7 @@
 //! let mut scheduler = Scheduler::new(settings, 42);
 //! let machine = MachineLine {
 //!     machine: MachineId(7), state: MachineState::Ready, kind: 0, rack: 1, zone: 0, started_at: 0, life: 0,
-//!     free_cores: Some(16.0), free_memory: Some(32.0),
+//!     free_cores: Some(16.0), free_memory: Some(32.0), cold_share: None,
 //! };
 //! let task = Request {
 //!     request: RequestId(1), task: TaskKey(9), service: ServiceId(3), class: 0, tenant: 0,
@@ -31,6 +31,7 @@
 
 pub use choice::Scheduler;
 pub use interface::*;
+pub use state::home_rank;
 
 #[doc = include_str!("../README.md")]
 #[cfg(doctest)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,7 +265,7 @@
 }
 
 /// Where a machine stands among the homes of a service, the highest first: larger ones ahead in proportion.
-pub(crate) fn home_rank(service: ServiceId, machine: MachineId, cores: f64) -> f64 {
+pub fn home_rank(service: ServiceId, machine: MachineId, cores: f64) -> f64 {
     unit(scatter(service.0 ^ scatter(machine.0))).max(f64::MIN_POSITIVE).ln() / cores.max(1e-9)
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -146,7 +146,18 @@
         let (free_cores, free_memory) = (Some(free_cores), Some(free_memory));
         // On this wire the start is told to all schedulers alike, so that it names the life as well.
         let life = started_at;
-        Ok(MachineLine { machine, state, kind, rack, zone, started_at, life, free_cores, free_memory })
+        Ok(MachineLine {
+            machine,
+            state,
+            kind,
+            rack,
+            zone,
+            started_at,
+            life,
+            free_cores,
+            free_memory,
+            cold_share: None,
+        })
     }
     fn place(&mut self) -> Read<Request> {
         let request = RequestId(self.u64()?);
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -16,6 +16,7 @@
         life: 0,
         free_cores: Some(16.0),
         free_memory: Some(32.0),
+        cold_share: None,
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -52,6 +52,7 @@
 
 fn line(machine: u64, started_at: Micros) -> MachineLine {
     MachineLine {
+        cold_share: None,
         machine: MachineId(machine),
         state: MachineState::Ready,
         kind: 0,
