--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,8 +301,8 @@
     pub free_cores: Option<f64>,
     /// Memory nobody asked for, some time ago.
     pub free_memory: Option<f64>,
-    /// Offers that this scheduler may make there in a window while the machine is cold, where not all schedulers share it;
-    /// else the split among all of them holds.
+    /// Offers that this scheduler may make there in a window while the machine is cold, where not all
+    /// schedulers share it; else the split among all of them holds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold_share: Option<u32>,
 }
