--- a/crates/scale/src/row.rs
+++ b/crates/scale/src/row.rs
@@ -78,7 +78,11 @@
 
     /// [`At::BASE`] with this axis set; not for several together.
     pub fn at(self, size: u64) -> At {
-        let mut at = At::BASE;
+        self.set(At::BASE, size)
+    }
+
+    /// The sizes with this axis set; not for several together.
+    pub fn set(self, mut at: At, size: u64) -> At {
         match self {
             Axis::Machines | Axis::Together => at.machines = size,
             Axis::Schedulers => at.schedulers = size,
