A hollow instance of the platform's controller at rising sizes

Reason: what a whole instance costs, desk and bytes included, was measured at no size. Change: the role `serve` plays `Desk` with the platform's messages and feed lines in simulated time: tasks that stand are handed over, set-ups are read, queued, placed, answered and ended, lists change, connections rest. Noted are thread processor time by kind of input and for each start, the longest turn, messages and bytes each way, tests at rest, resident bytes by machine, standing task and connection, and the connections that would be open. Tenants have no axis: set-ups name none. Asks are rounded, so that their text is as long at every size.

--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -50,7 +50,9 @@
     /// Of these sizes. Tasks are small enough that those that stand leave room.
     pub fn new(at: &At) -> Cluster {
         let room = at.machines as f64 * SIZE[0] * OWN_SHARE;
-        let cores = (room / (at.standing + at.starts * 4).max(1) as f64).min(1.0);
+        // Rounded, so that the text of an ask is as long at every size.
+        let cores = (room / (at.standing + at.starts * 4).max(1) as f64).clamp(0.001, 1.0);
+        let cores = (cores * 1e3).round() / 1e3;
         let services = (at.standing / OF_ONE_SERVICE).max(at.classes).max(50);
         let asks = [cores, cores * SIZE[1] / SIZE[0]];
         Cluster { at: *at, asks, services, fresh: 0, rng: fastrand::Rng::with_seed(1), warm: HashSet::new() }
@@ -329,6 +331,12 @@
         measures
     }
 
+    /// The time of all that was noted in the last window, microseconds.
+    pub fn total_micros(&self) -> f64 {
+        let last = self.windows.iter().next_back().into_iter().flat_map(BTreeMap::values);
+        last.map(|kind| kind.sum as f64 / 1e3).sum()
+    }
+
     /// The time of all events of these kinds for each event of the first of them, microseconds.
     pub fn for_each(&self, measure: &str, kinds: &[&str]) -> Option<Measure> {
         let one = |w: &BTreeMap<&str, Window>| {
--- a/crates/scale/src/roles.rs
+++ b/crates/scale/src/roles.rs
@@ -1,6 +1,7 @@
 //! One module a role of the program.
 
 pub mod module;
+pub mod serve;
 
 use crate::row::{At, Axis, Measure};
 use anyhow::Result;
@@ -18,7 +19,7 @@
 }
 
 /// All of them, in the order in which they are played.
-pub const ROLES: &[Role] = &[module::ROLE];
+pub const ROLES: &[Role] = &[module::ROLE, serve::ROLE];
 
 /// Points that rise geometrically from `least` to `most`, both among them.
 pub fn rising(least: u64, most: u64, points: u32) -> Vec<u64> {
