The DRMAA controller's core at rising sizes

Reason: the core around the decision module has work of its own with machines and standing tasks, measured at no size. Calls of clients come as inputs; their JSON is not in it.

--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -41,6 +41,7 @@
     pub asks: [f64; 2],
     services: u64,
     fresh: u64,
+    holders: u64,
     rng: fastrand::Rng,
     /// Machines that hold the program of a service.
     warm: HashSet<(MachineId, ServiceId)>,
@@ -55,7 +56,16 @@
         let cores = (cores * 1e3).round() / 1e3;
         let services = (at.standing / OF_ONE_SERVICE).max(at.classes).max(50);
         let asks = [cores, cores * SIZE[1] / SIZE[0]];
-        Cluster { at: *at, asks, services, fresh: 0, rng: fastrand::Rng::with_seed(1), warm: HashSet::new() }
+        let holders = (at.machines - at.machines.div_ceil(5)).max(1);
+        Cluster {
+            at: *at,
+            asks,
+            services,
+            fresh: 0,
+            holders,
+            rng: fastrand::Rng::with_seed(1),
+            warm: HashSet::new(),
+        }
     }
 
     /// Settings: classes of four sorts by turns, safe, keyed by rack, unsafe, and spread over zones; a fleet has its
@@ -90,19 +100,23 @@
         !i.is_multiple_of(5)
     }
 
+    /// No more machines than these hold the tasks that stand.
+    #[must_use]
+    pub fn held_by(self, most: u64) -> Cluster {
+        Cluster { holders: self.holders.min(most.max(1)), ..self }
+    }
+
     /// Where the standing task `n` is: spread over the opened machines.
     pub fn machine_of(&self, n: u64) -> u64 {
-        let opened = (self.at.machines - self.at.machines.div_ceil(5)).max(1);
-        let k = n % opened;
+        let k = n % self.holders;
         k + k / 4 + 1
     }
 
     fn own(&self, i: u64) -> u64 {
-        if !Cluster::is_opened(i) {
+        if !Cluster::is_opened(i) || i - i / 5 > self.holders {
             return 0;
         }
-        let opened = (self.at.machines - self.at.machines.div_ceil(5)).max(1);
-        self.at.standing / opened + u64::from(i - i / 5 - 1 < self.at.standing % opened)
+        self.at.standing / self.holders + u64::from(i - i / 5 <= self.at.standing % self.holders)
     }
 
     /// Free cores and memory of machine `i`: others take three to six tenths of an opened one, and the tasks that stand
@@ -334,7 +348,7 @@
     /// The time of all that was noted in the last window, microseconds.
     pub fn total_micros(&self) -> f64 {
         let last = self.windows.iter().next_back().into_iter().flat_map(BTreeMap::values);
-        last.map(|kind| kind.sum as f64 / 1e3).sum()
+        last.map(|kind| kind.sum).sum::<u64>() as f64 / 1e3
     }
 
     /// The time of all events of these kinds for each event of the first of them, microseconds.
--- a/crates/scale/src/roles.rs
+++ b/crates/scale/src/roles.rs
@@ -1,5 +1,6 @@
 //! One module a role of the program.
 
+pub mod controller;
 pub mod module;
 pub mod serve;
 
@@ -19,7 +20,7 @@
 }
 
 /// All of them, in the order in which they are played.
-pub const ROLES: &[Role] = &[module::ROLE, serve::ROLE];
+pub const ROLES: &[Role] = &[module::ROLE, serve::ROLE, controller::ROLE];
 
 /// Points that rise geometrically from `least` to `most`, both among them.
 pub fn rising(least: u64, most: u64, points: u32) -> Vec<u64> {
