The hollow roles are measured with the view, and with the feed as it is read

Reason: processes decide with the module behind its view now, and the feed's lines have a bound by memory; the scale package did not build with either. Change: `serve` and `controller` put `View` around the module as the programs do; `module` stays the module alone. The share of the longest line goes from the figures of `serve`: the bound follows the memory, which no point has.

--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -137,8 +137,19 @@
         let (rack, zone) = Cluster::place(i);
         let [cores, memory] = self.free(i);
         let (free_cores, free_memory) = (Some(cores), Some(memory));
-        let (state, kind, started_at, life) = (MachineState::Ready, 0, 0, 0);
-        MachineLine { machine, state, kind, rack, zone, started_at, life, free_cores, free_memory }
+        let (state, kind, started_at, life, cold_share) = (MachineState::Ready, 0, 0, 0, None);
+        MachineLine {
+            machine,
+            state,
+            kind,
+            rack,
+            zone,
+            started_at,
+            life,
+            free_cores,
+            free_memory,
+            cold_share,
+        }
     }
 
     /// The load report of machine `i`.
--- a/crates/scale/src/roles/controller.rs
+++ b/crates/scale/src/roles/controller.rs
@@ -1,4 +1,4 @@
-//! The controller of DRMAA without its sockets: the core with the decision module, and the frames of nodes and of the
+//! The controller of DRMAA without its sockets: the core, the decision module with its view, and the frames of nodes and of the
 //! node list, in simulated time. Calls of clients come as the inputs that they lead to: their JSON isn't in these
 //! figures, and neither is what sockets and their buffers take.
 
--- a/crates/scale/src/roles/controller/rig.rs
+++ b/crates/scale/src/roles/controller/rig.rs
@@ -10,6 +10,7 @@
 use peppercove_core::nodes::id_of;
 use peppercove_core::{Alarms, Core, Input, Output};
 use peppercove_exchange::{Greeting, Heard, Step, frame, heard, limits, list_input, work_of};
+use peppercove_fleet::{Decider, View};
 use peppercove_protocol::VERSION;
 use peppercove_protocol::codec::{LIST_FRAME, Messages, NODE_FRAME};
 use peppercove_protocol::list::{FromList, Line, NodeState, Scope, ToList};
@@ -39,7 +40,7 @@
 
 /// A controller's core, and all that talks to it.
 pub struct Rig {
-    core: Core<Scheduler>,
+    core: Core<Decider>,
     config: Config,
     cluster: Cluster,
     /// What was noted.
@@ -67,7 +68,7 @@
     pub fn new(at: &At) -> Result<Rig> {
         let cluster = Cluster::new(at).held_by(HOLDERS);
         let config = config(&cluster)?;
-        let module = Scheduler::new(config.module.clone(), 1);
+        let module = View::new(Scheduler::new(config.module.clone(), 1), &config.module);
         let mut held: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
         for n in 0..at.standing {
             held.entry(cluster.machine_of(n)).or_default().push(n);
--- a/crates/scale/src/roles/module.rs
+++ b/crates/scale/src/roles/module.rs
@@ -1,4 +1,4 @@
-//! The decision module alone: events in, actions out.
+//! The decision module alone, without the view that bounds what it sees of a large fleet: events in, actions out.
 //!
 //! Each event is a batch of its own, so that its time holds what a batch costs beside it.
 
--- a/crates/scale/src/roles/serve.rs
+++ b/crates/scale/src/roles/serve.rs
@@ -1,4 +1,4 @@
-//! A hollow instance of the platform's controller: its desk and the real bytes of owners, hosts and the list, in
+//! A hollow instance of the platform's controller: its desk, the decision module with its view, and the real bytes of owners, hosts and the list, in
 //! simulated time, without the sockets around them. What sockets and their buffers take is not in these figures.
 //!
 //! Tenants have no axis here: set-ups of the platform name none.
@@ -11,7 +11,6 @@
 use crate::row::{At, Axis, Measure};
 use anyhow::Result;
 use peppercove::Micros;
-use peppercove_platform::feed;
 use rig::Rig;
 
 /// The role.
@@ -39,12 +38,7 @@
     let play = Play::of(at, quick);
     let mut rig = Rig::new(at)?;
     let (first, second) = (rig.whole_list(), rig.whole_list());
-    let whole = first.len() as f64;
-    let mut measures = vec![
-        Measure::counted("whole_list_bytes", "bytes", whole),
-        // Over one the feed gives the line up before it has come whole.
-        Measure::counted("whole_list_of_longest", "share", whole / feed::LONGEST as f64),
-    ];
+    let mut measures = vec![Measure::counted("whole_list_bytes", "bytes", first.len() as f64)];
     let bare = resident()?;
     rig.list("first_list", &first)?;
     let listed = resident()?;
