--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,114 @@
+//! Lists, asks, and a stand-in for the decision module that keeps only what it was told.
+#![allow(dead_code)]
+
+use peppercove::*;
+use peppercove_core::Decide;
+use peppercove_fleet::View;
+use std::collections::BTreeMap;
+
+pub const SECOND: Micros = 1_000_000;
+
+/// Zones of a test's fleet.
+pub const ZONES: u64 = 3;
+
+/// Machine `m`: three zones, racks of eight within them, and every fourth machine of the second kind.
+pub fn line(m: u64) -> MachineLine {
+    MachineLine {
+        machine: MachineId(m),
+        state: MachineState::Ready,
+        kind: u8::from(m % 4 == 3),
+        zone: (m % ZONES) as u8,
+        rack: (m / (ZONES * 8)) as u16,
+        ..MachineLine::default()
+    }
+}
+
+pub fn lines(machines: impl IntoIterator<Item = u64>) -> Vec<MachineLine> {
+    machines.into_iter().map(line).collect()
+}
+
+pub fn list(scope: ListScope, version: u64, lines: Vec<MachineLine>) -> Event {
+    Event::MachineList { scope, version, lines }
+}
+
+pub fn settings(schedulers: u32, own_number: u32) -> Settings {
+    let kind = Kind { cores: 16.0, memory: 32.0 };
+    Settings { schedulers, own_number, kinds: vec![kind; 3], ..Settings::sample() }
+}
+
+pub fn ask(request: u64, class: u16, service: u64) -> Request {
+    Request {
+        request: RequestId(request),
+        task: TaskKey(request),
+        service: ServiceId(service),
+        class,
+        tenant: 0,
+        cores: 1.0,
+        memory: 2.0,
+        deadline_in: 5 * SECOND,
+        life_hint: None,
+        again: false,
+    }
+}
+
+pub fn ended(request: u64, attempt: u16, machine: MachineId, outcome: Outcome) -> Event {
+    let (request, why) = (RequestId(request), Why::Unknown);
+    Event::Ended { request, attempt, machine, outcome, why, over: false, load: None }
+}
+
+pub fn binds(actions: &[Action]) -> Vec<(u64, MachineId)> {
+    let bind = |a: &Action| match a {
+        Action::Bind { request, machine, .. } => Some((request.0, *machine)),
+        _ => None,
+    };
+    actions.iter().filter_map(bind).collect()
+}
+
+/// Keeps the lines that it is told as the module does, and answers with what a test put into `answer`.
+#[derive(Default)]
+pub struct Told {
+    pub lines: BTreeMap<MachineId, MachineLine>,
+    pub version: u64,
+    pub events: Vec<Event>,
+    pub answer: Vec<Action>,
+}
+
+impl Told {
+    /// The module may send there.
+    pub fn open(&self, machine: MachineId) -> bool {
+        self.lines.get(&machine).is_some_and(|line| line.state == MachineState::Ready)
+    }
+
+    /// Offers that a cold machine may get in a window; `None` is the split among all schedulers.
+    pub fn cold_share(&self, machine: MachineId) -> Option<u32> {
+        if self.open(machine) { self.lines[&machine].cold_share } else { Some(0) }
+    }
+}
+
+impl Decide for Told {
+    fn decide(&mut self, _: Micros, events: &[Event]) -> Vec<Action> {
+        for event in events {
+            let Event::MachineList { scope, version, lines } = event else { continue };
+            if *scope == ListScope::Failed || *version < self.version && *scope != ListScope::Cached {
+                continue;
+            }
+            self.version = *version;
+            if !matches!(scope, ListScope::Delta | ListScope::View) {
+                self.lines.values_mut().for_each(|line| line.state = MachineState::Gone);
+            }
+            self.lines.extend(lines.iter().map(|line| (line.machine, line.clone())));
+        }
+        self.events = events.to_vec();
+        std::mem::take(&mut self.answer)
+    }
+}
+
+/// A view of this size around the stand-in.
+pub fn told(schedulers: u32, own: u32, size: u64) -> View<Told> {
+    View::with_size(Told::default(), &settings(schedulers, own), size)
+}
+
+/// A view of this size around the module.
+pub fn module(settings: &Settings, size: u64, seed: u64) -> View<Scheduler> {
+    View::with_size(Scheduler::new(settings.clone(), seed), settings, size)
+}
