Tests of slots: cold shares sum to what a machine bears, few pairs move, places are in each view

Reason: the split of a cold machine's ramp and the views both follow from the owners of slots, and nothing tested them. Change: tests/slots.rs with a stand-in for the decision module (tests/common) that keeps what it was told.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -112,3 +112,54 @@
 pub fn module(settings: &Settings, size: u64, seed: u64) -> View<Scheduler> {
     View::with_size(Scheduler::new(settings.clone(), seed), settings, size)
 }
+
+/// A view around the module that is told things in order, with its timers.
+pub struct Driver {
+    pub view: View<Scheduler>,
+    pub now: Micros,
+    pub version: u64,
+    timers: Vec<(Micros, u64)>,
+}
+
+impl Driver {
+    pub fn new(settings: &Settings, size: u64, seed: u64) -> Driver {
+        Driver { view: module(settings, size, seed), now: SECOND, version: 0, timers: Vec::new() }
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let actions = self.view.decide(self.now, &[event]);
+        let timer =
+            |a: &Action| if let Action::SetTimer { at, label } = a { Some((*at, *label)) } else { None };
+        self.timers.extend(actions.iter().filter_map(timer));
+        actions
+    }
+
+    pub fn list(&mut self, scope: ListScope, lines: Vec<MachineLine>) -> Vec<Action> {
+        self.version += 1;
+        self.tell(list(scope, self.version, lines))
+    }
+
+    /// Lets time pass up to `until`, or to the first bind; returns what the timers brought.
+    pub fn wait(&mut self, until: Micros) -> Vec<Action> {
+        let mut all = Vec::new();
+        while let Some(next) = self.timers.iter().copied().filter(|(at, _)| *at <= until).min() {
+            self.timers.retain(|timer| *timer != next);
+            self.now = self.now.max(next.0);
+            all.extend(self.tell(Event::Timer(next.1)));
+            if !binds(&all).is_empty() {
+                return all;
+            }
+        }
+        self.now = until;
+        all
+    }
+
+    /// Places a task and returns where it goes, if it goes somewhere before `until`.
+    pub fn place(&mut self, ask: Request, until: Micros) -> Option<MachineId> {
+        let mut actions = self.tell(Event::Place(ask));
+        if binds(&actions).is_empty() {
+            actions = self.wait(until);
+        }
+        binds(&actions).first().map(|bind| bind.1)
+    }
+}
--- a/crates/fleet/tests/slots.rs
+++ b/crates/fleet/tests/slots.rs
@@ -68,8 +68,9 @@
 
 #[test]
 fn each_view_has_all_zones_and_kinds_and_a_rare_kind_whole() {
-    let rare =
-        |line: MachineLine| if line.machine.0 % 199 == 0 { MachineLine { kind: 2, ..line } } else { line };
+    let rare = |line: MachineLine| {
+        if line.machine.0.is_multiple_of(199) { MachineLine { kind: 2, ..line } } else { line }
+    };
     let all: Vec<MachineLine> = lines(0..2_000).into_iter().map(rare).collect();
     let pairs = views(24, 256, &all);
     for own in 0..24 {
