A machine that comes into view is told with the room that the list named for it

Reason: the room was stripped from every line that was told outside a list, so that what a machine has said since is not erased. A machine that the module had never been told of then counted as full as the mean of those in view: where these were full, no task got to the room outside, however far the view looked. Change: the room of a line is told once, with the list or when the machine first comes into view after it. tests/beyond.rs: a task finds the one machine with room, goes on in its rack, counts where it stands.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -49,6 +49,8 @@
     line: MachineLine,
     /// One of its first slots is this scheduler's.
     own: bool,
+    /// The module has been told the room that this line names.
+    room_told: bool,
 }
 
 /// A request without an answer.
@@ -165,7 +167,8 @@
     }
 
     /// The line as the module is told it. Danger: the list named the room at its own time; told again later, it would
-    /// erase what the machine itself has said since.
+    /// erase what the machine itself has said since. Not told at all, a machine that comes into view would count as full
+    /// as the mean of those in view, and where these are full nothing would go to the room outside.
     fn told(&self, line: &MachineLine, fresh: bool) -> MachineLine {
         let (own, all) = (self.settings.own_number, self.settings.schedulers);
         let bears = self.settings.cold_bears.max(0.0) as u64;
@@ -187,8 +190,9 @@
             let Some(known) = self.fleet.get(&machine) else { continue };
             let wanted = self.is_in_view(known);
             if wanted && !self.shown.contains(&machine) {
-                lines.push(self.told(&known.line, false));
+                lines.push(self.told(&known.line, !known.room_told));
                 self.shown.insert(machine);
+                self.room_was_told(machine);
             } else if !wanted && self.shown.remove(&machine) {
                 lines.push(Self::gone(&known.line));
             }
@@ -196,6 +200,12 @@
         lines
     }
 
+    fn room_was_told(&mut self, machine: MachineId) {
+        if let Some(known) = self.fleet.get_mut(&machine) {
+            known.room_told = true;
+        }
+    }
+
     /// Tells the module of these lines, if there are any.
     fn tell(&self, lines: Vec<MachineLine>, events: &mut Vec<Event>) {
         if !lines.is_empty() {
@@ -218,6 +228,7 @@
         if !self.bounded && !was {
             self.unplaced.retain(|machine| !self.fleet.contains_key(machine));
             let settled = self.now >= self.unsettled_until;
+            lines.iter().for_each(|line| self.room_was_told(line.machine));
             let told = |line: &MachineLine| if settled { line.clone() } else { self.told(line, true) };
             events.push(Event::MachineList { scope, version, lines: lines.iter().map(told).collect() });
             return;
@@ -229,7 +240,7 @@
         }
         self.keep_homes(&turned);
         if whole || moved || was != self.bounded {
-            self.tell_whole(scope, version, lines, events);
+            self.tell_whole(scope, version, events);
             return;
         }
         let mut told = Vec::new();
@@ -237,6 +248,7 @@
             let wanted = self.fleet.get(&line.machine).is_some_and(|known| self.is_in_view(known));
             if wanted {
                 self.shown.insert(line.machine);
+                self.room_was_told(line.machine);
                 told.push(self.told(line, true));
             } else if self.shown.remove(&line.machine) {
                 told.push(Self::gone(line));
@@ -263,7 +275,7 @@
         let left: Vec<MachineId> = unnamed.chain(gone).collect();
         for line in lines {
             let own = self.bounded && self.is_own(line);
-            let before = self.fleet.insert(line.machine, Known { line: line.clone(), own });
+            let before = self.fleet.insert(line.machine, Known { line: line.clone(), own, room_told: false });
             let before = before.as_ref().map(|known| &known.line);
             if before.and_then(ready) != ready(line) {
                 turned.insert(line.machine);
@@ -280,12 +292,12 @@
     }
 
     /// The view changes as a whole, and the module is told all that is in it.
-    fn tell_whole(&mut self, scope: ListScope, version: u64, fresh: &[MachineLine], events: &mut Vec<Event>) {
+    fn tell_whole(&mut self, scope: ListScope, version: u64, events: &mut Vec<Event>) {
         self.left_homes.clear();
-        let fresh: BTreeSet<MachineId> = fresh.iter().map(|line| line.machine).collect();
         let in_view = |known: &&Known| !self.bounded || self.is_in_view(known);
-        let told = |known: &Known| self.told(&known.line, fresh.contains(&known.line.machine));
+        let told = |known: &Known| self.told(&known.line, !known.room_told);
         let mut lines: Vec<MachineLine> = self.fleet.values().filter(in_view).map(told).collect();
+        lines.iter().for_each(|line| self.room_was_told(line.machine));
         self.shown = lines.iter().filter(|_| self.bounded).map(|line| line.machine).collect();
         lines.extend(self.place_standing());
         // What is whole to the list is whole to the module: what is not named is gone for it.
--- /dev/null
+++ b/crates/fleet/tests/beyond.rs
@@ -0,0 +1,138 @@
+//! What a task needs or holds beyond the view: room elsewhere, its rack, the place where it stands.
+
+mod common;
+
+use common::*;
+use peppercove::*;
+
+const SIZE: u64 = 64;
+
+/// One of 100 schedulers with a view of some 160 of 2,000 machines.
+fn driver() -> Driver {
+    let mut driver = Driver::new(&settings(100, 3), SIZE, 5);
+    driver.list(ListScope::Full, lines(0..2_000));
+    assert!(driver.view.is_bounded() && (120..220).contains(&driver.view.len()), "{}", driver.view.len());
+    driver
+}
+
+fn rack_of(machine: MachineId) -> (u8, u16) {
+    let line = line(machine.0);
+    (line.zone, line.rack)
+}
+
+fn outside(driver: &Driver) -> impl Iterator<Item = MachineId> {
+    (0..2_000).map(MachineId).filter(|machine| !driver.view.shows(*machine))
+}
+
+/// Danger: machines that come into view without the room that the list named count as full as the mean of those in view,
+/// and where these are full no task gets to the room outside.
+#[test]
+fn a_task_that_no_machine_in_view_can_take_finds_the_room_outside() {
+    let mut driver = driver();
+    let (mut worst, mut most) = (0, 0);
+    let own: Vec<bool> = (0..2_000).map(|m| driver.view.shows(MachineId(m))).collect();
+    for free in [1_999, 0, 1_000, 500, 1_234] {
+        let free = (free..2_000).chain(0..free).find(|m| !own[*m as usize]).unwrap();
+        let room = |m: u64| if m == free { (16.0, 32.0) } else { (0.0, 0.0) };
+        let told = (0..2_000).map(|m| MachineLine {
+            free_cores: Some(room(m).0),
+            free_memory: Some(room(m).1),
+            ..line(m)
+        });
+        let told: Vec<MachineLine> = told.collect();
+        // Told until what was known of each is outweighed.
+        for _ in 0..20 {
+            driver.now += 10 * SECOND;
+            driver.list(ListScope::Full, told.clone());
+        }
+        let came = driver.now;
+        driver.tell(Event::Place(ask(free, 0, free)));
+        let mut bound = Vec::new();
+        while bound.is_empty() && driver.now < came + 5 * SECOND {
+            bound = binds(&driver.wait(driver.now + SECOND / 10));
+            most = most.max(driver.view.len());
+        }
+        assert_eq!(bound, [(free, MachineId(free))], "after {} us", driver.now - came);
+        worst = worst.max(driver.now - came);
+        driver.tell(Event::Placed { request: RequestId(free), attempt: 0, machine: MachineId(free) });
+        // It shrinks back once nothing has waited for the time that a list is good for.
+        driver.now += 11 * SECOND;
+        driver.tell(Event::Timer(9));
+        assert!(driver.view.len() < 230, "{} machines in view", driver.view.len());
+    }
+    println!("found after {worst} us at most, {most} machines in view at most");
+    assert!(worst < 4_500_000 && most < 300, "{worst} us, {most} machines");
+}
+
+fn goes_on_in_its_rack(driver: &mut Driver, request: u64, dies: bool) {
+    let first = driver.place(ask(request, 1, request), driver.now + SECOND).expect("a machine in view");
+    let rack: Vec<MachineId> = (0..2_000).map(MachineId).filter(|m| rack_of(*m) == rack_of(first)).collect();
+    let before: Vec<bool> = rack.iter().map(|machine| driver.view.shows(*machine)).collect();
+    if dies {
+        let gone = MachineLine { state: MachineState::Gone, ..line(first.0) };
+        driver.list(ListScope::Delta, vec![gone]);
+    }
+    driver.now += SECOND / 2;
+    let second = binds(&driver.tell(ended(request, 0, first, Outcome::TimedOut)));
+    let [(_, second)] = second[..] else { panic!("no second try for {request} after {first:?}: {second:?}") };
+    assert!(second != first && rack.contains(&second), "{second:?} is not in the rack of {first:?}");
+    assert!(rack.iter().all(|machine| driver.view.shows(*machine) || dies && *machine == first));
+    driver.tell(Event::Placed { request: RequestId(request), attempt: 1, machine: second });
+    driver.now += 5 * SECOND;
+    driver.tell(Event::Timer(9));
+    let after: Vec<bool> = rack.iter().map(|machine| driver.view.shows(*machine)).collect();
+    let same = (0..rack.len()).all(|i| before[i] == after[i] || dies && rack[i] == first);
+    assert!(same, "the rack left the view with the window");
+}
+
+#[test]
+fn a_keyed_task_that_may_have_run_goes_on_in_its_rack_and_the_rack_leaves_the_view() {
+    let mut driver = driver();
+    (1..20).for_each(|request| goes_on_in_its_rack(&mut driver, request, false));
+}
+
+/// Tasks of the service, two to a rack at most, go everywhere in view but to the racks in `full`.
+fn spreads_but_not_to(driver: &mut Driver, service: u64, full: &[MachineId], first: u64) {
+    for request in first..first + 40 {
+        let machine = driver.place(ask(request, 1, service), driver.now).expect("other racks have room");
+        assert!(
+            full.iter().all(|m| rack_of(*m) != rack_of(machine)),
+            "{machine:?} is in a rack that is full"
+        );
+        driver.tell(Event::Placed { request: RequestId(request), attempt: 0, machine });
+    }
+}
+
+fn standing(driver: &mut Driver, request: u64, machine: MachineId) {
+    driver.tell(Event::Standing { request: ask(request, 1, 9), machine });
+}
+
+#[test]
+fn tasks_handed_over_outside_the_view_count_at_their_place() {
+    let mut driver = driver();
+    let full: Vec<MachineId> = outside(&driver).step_by(40).take(20).collect();
+    for (i, machine) in (0..).zip(full.iter().flat_map(|m| [m, m])) {
+        standing(&mut driver, 1_000 + i, *machine);
+    }
+    spreads_but_not_to(&mut driver, 9, &full, 1);
+}
+
+#[test]
+fn tasks_on_machines_that_leave_the_view_count_at_their_place() {
+    let mut driver = driver();
+    let mut full = Vec::new();
+    for request in 1_000..1_060 {
+        let machine = driver.place(ask(request, 1, 9), driver.now).unwrap();
+        driver.tell(Event::Placed { request: RequestId(request), attempt: 0, machine });
+        full.push(machine);
+    }
+    let twice = full.iter().filter(|m| full.iter().filter(|o| rack_of(**o) == rack_of(**m)).count() == 2);
+    let twice: Vec<MachineId> = twice.copied().collect();
+    assert!(twice.len() > 10);
+    // They leave the list, and come back as strangers; then all is told anew.
+    let left: Vec<u64> = (0..2_000).filter(|m| !full.contains(&MachineId(*m))).collect();
+    driver.list(ListScope::Full, lines(left));
+    spreads_but_not_to(&mut driver, 9, &twice, 1);
+    driver.list(ListScope::Full, lines(0..2_000));
+    spreads_but_not_to(&mut driver, 9, &twice, 100);
+}
