A keyed task goes on in the rack of a machine that has left the list

Reason: the rack that a keyed task must stay in was looked up when its attempt ended. A machine that died is off the list by then, so the rack stayed outside the view and the task was given up with its rack idle. Change: the rack is kept with the request from the bind on. Measured: `a_keyed_task_goes_on_in_the_rack_of_a_machine_that_has_left_the_list` fails without it (no second try).

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -53,11 +53,16 @@
     room_told: bool,
 }
 
+/// Zone and rack.
+type Rack = (u8, u16);
+
 /// A request without an answer.
 #[derive(Debug)]
 struct Open {
     class: u16,
     waits: bool,
+    /// Where its last attempt went. Danger: a machine that dies is off the list before the attempt ends.
+    rack: Option<Rack>,
 }
 
 /// The decision module with a bounded view of the fleet.
@@ -83,7 +88,7 @@
     /// Homes that the last list took out of view, to be told.
     left_homes: Vec<MachineId>,
     /// Racks that are in view whole, until when.
-    racks: BTreeMap<(u8, u16), Micros>,
+    racks: BTreeMap<Rack, Micros>,
     /// The part of the rest that is in view, and where the next one begins.
     more: BTreeSet<MachineId>,
     next_more: MachineId,
@@ -461,13 +466,10 @@
 
     /// Danger: a keyed task that may have run goes on within its rack alone, and one machine of it may be all that the
     /// view has.
-    fn bring_rack(&mut self, request: RequestId, machine: MachineId) -> Vec<MachineLine> {
-        let class =
-            self.open.get(&request).and_then(|open| self.settings.classes.get(usize::from(open.class)));
-        let Some(Repeat::Keyed { group: Group::Rack, window }) = class.map(|class| class.repeat) else {
-            return Vec::new();
-        };
-        let Some(rack) = self.fleet.get(&machine).map(|known| (known.line.zone, known.line.rack)) else {
+    fn bring_rack(&mut self, request: RequestId) -> Vec<MachineLine> {
+        let Some(open) = self.open.get(&request) else { return Vec::new() };
+        let repeat = self.settings.classes.get(usize::from(open.class)).map(|class| class.repeat);
+        let (Some(Repeat::Keyed { group: Group::Rack, window }), Some(rack)) = (repeat, open.rack) else {
             return Vec::new();
         };
         self.racks.insert(rack, self.now + window);
@@ -475,13 +477,13 @@
         self.changes(machines)
     }
 
-    fn in_racks(&self, racks: &[(u8, u16)]) -> Vec<MachineId> {
+    fn in_racks(&self, racks: &[Rack]) -> Vec<MachineId> {
         let lines = self.fleet.values().map(|known| &known.line);
         lines.filter(|line| racks.contains(&(line.zone, line.rack))).map(|line| line.machine).collect()
     }
 
     fn drop_racks(&mut self) -> Vec<MachineLine> {
-        let over: Vec<(u8, u16)> =
+        let over: Vec<Rack> =
             self.racks.iter().filter(|(_, until)| **until <= self.now).map(|(rack, _)| *rack).collect();
         if over.is_empty() {
             return Vec::new();
@@ -526,14 +528,14 @@
                 return self.on_list(*scope, *version, lines, events);
             }
             Event::Place(ask) if self.bounded => {
-                self.open.entry(ask.request).or_insert(Open { class: ask.class, waits: false });
+                self.open.entry(ask.request).or_insert(Open { class: ask.class, waits: false, rack: None });
                 let lines = self.use_homes(ask.service, ask.class);
                 self.tell(lines, events);
             }
-            Event::Ended { request, machine, outcome, over: false, .. } if self.bounded => {
+            Event::Ended { request, outcome, over: false, .. } if self.bounded => {
                 let never_ran = matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
                 if !never_ran {
-                    let lines = self.bring_rack(*request, *machine);
+                    let lines = self.bring_rack(*request);
                     self.tell(lines, events);
                 }
             }
@@ -571,7 +573,13 @@
         }
         for action in actions {
             match action {
-                Action::Bind { request, .. } => self.waits(*request, false),
+                Action::Bind { request, machine, .. } => {
+                    self.waits(*request, false);
+                    let rack = self.fleet.get(machine).map(|known| (known.line.zone, known.line.rack));
+                    if let Some(open) = self.open.get_mut(request) {
+                        open.rack = rack;
+                    }
+                }
                 Action::Refuse { request, .. } | Action::Fail(request) => {
                     self.open.remove(request);
                 }
--- a/crates/fleet/tests/beyond.rs
+++ b/crates/fleet/tests/beyond.rs
@@ -83,6 +83,7 @@
     let after: Vec<bool> = rack.iter().map(|machine| driver.view.shows(*machine)).collect();
     let same = (0..rack.len()).all(|i| before[i] == after[i] || dies && rack[i] == first);
     assert!(same, "the rack left the view with the window");
+    driver.list(ListScope::Delta, vec![line(first.0)]);
 }
 
 #[test]
@@ -91,6 +92,13 @@
     (1..20).for_each(|request| goes_on_in_its_rack(&mut driver, request, false));
 }
 
+/// Danger: a machine that died is off the list before its attempt ends, and with it went the knowledge of its rack.
+#[test]
+fn a_keyed_task_goes_on_in_the_rack_of_a_machine_that_has_left_the_list() {
+    let mut driver = driver();
+    (1..20).for_each(|request| goes_on_in_its_rack(&mut driver, request, true));
+}
+
 /// Tasks of the service, two to a rack at most, go everywhere in view but to the racks in `full`.
 fn spreads_but_not_to(driver: &mut Driver, service: u64, full: &[MachineId], first: u64) {
     for request in first..first + 40 {
