Tasks handed over before the list keep waiting for their place while one of them ends

Reason: a task that is handed over on a machine that no list has named counts at all places. The view told the module the place of such a machine outside it when the list came, but forgot the machine with the first end of any task there, and where the list named it as gone: the tasks that still stood there kept their service from every place. Change: what waits for a place is kept by machine and request, and is answered from the lines that name the machine. Measured: without it `tasks_handed_over_before_the_list_count_at_their_place_once_it_names_it` and `tasks_on_a_machine_that_the_list_names_as_gone_count_at_its_place` fail (no machine takes a task of the service).

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -94,8 +94,9 @@
     next_more: MachineId,
     more_at: Micros,
     open: BTreeMap<RequestId, Open>,
-    /// Machines outside the view where tasks stand that were handed over before the list named them.
-    unplaced: BTreeSet<MachineId>,
+    /// Tasks that were handed over before the list named their machine. Danger: their place is not known, so each counts
+    /// at all places, and the module is to be told the place even where the machine is outside the view.
+    unplaced: BTreeMap<MachineId, BTreeSet<RequestId>>,
 }
 
 impl<D: Decide> View<D> {
@@ -125,7 +126,7 @@
             next_more: MachineId(0),
             more_at: 0,
             open: BTreeMap::new(),
-            unplaced: BTreeSet::new(),
+            unplaced: BTreeMap::new(),
         }
     }
 
@@ -231,7 +232,7 @@
         let turned = self.take_in(whole, lines);
         self.bound(first);
         if !self.bounded && !was {
-            self.unplaced.retain(|machine| !self.fleet.contains_key(machine));
+            lines.iter().for_each(|line| drop(self.unplaced.remove(&line.machine)));
             let settled = self.now >= self.unsettled_until;
             lines.iter().for_each(|line| self.room_was_told(line.machine));
             let told = |line: &MachineLine| if settled { line.clone() } else { self.told(line, true) };
@@ -245,7 +246,7 @@
         }
         self.keep_homes(&turned);
         if whole || moved || was != self.bounded {
-            self.tell_whole(scope, version, events);
+            self.tell_whole(scope, version, lines, events);
             return;
         }
         let mut told = Vec::new();
@@ -259,7 +260,7 @@
                 told.push(Self::gone(line));
             }
         }
-        told.extend(self.place_standing());
+        told.extend(self.place_standing(lines));
         // Passed on also where it tells nothing: the call for the list was answered.
         events.push(Event::MachineList { scope, version, lines: told });
         // A service that lost a home has another one now.
@@ -297,27 +298,25 @@
     }
 
     /// The view changes as a whole, and the module is told all that is in it.
-    fn tell_whole(&mut self, scope: ListScope, version: u64, events: &mut Vec<Event>) {
+    fn tell_whole(&mut self, scope: ListScope, version: u64, list: &[MachineLine], events: &mut Vec<Event>) {
         self.left_homes.clear();
         let in_view = |known: &&Known| !self.bounded || self.is_in_view(known);
         let told = |known: &Known| self.told(&known.line, !known.room_told);
         let mut lines: Vec<MachineLine> = self.fleet.values().filter(in_view).map(told).collect();
         lines.iter().for_each(|line| self.room_was_told(line.machine));
         self.shown = lines.iter().filter(|_| self.bounded).map(|line| line.machine).collect();
-        lines.extend(self.place_standing());
+        lines.extend(self.place_standing(list));
         // What is whole to the list is whole to the module: what is not named is gone for it.
         let scope = if scope == ListScope::Cached { scope } else { ListScope::Full };
         events.push(Event::MachineList { scope, version, lines });
     }
 
-    /// Tasks that were handed over on machines outside the view stand at a place now that the list names them.
-    fn place_standing(&mut self) -> Vec<MachineLine> {
-        let (shown, fleet, bounded) = (&self.shown, &self.fleet, self.bounded);
-        let named =
-            self.unplaced.iter().filter(|m| bounded && !shown.contains(m)).filter_map(|m| fleet.get(m));
-        let lines = named.map(|known| Self::gone(&known.line)).collect();
-        self.unplaced.retain(|machine| !fleet.contains_key(machine));
-        lines
+    /// Tasks that were handed over on machines outside the view stand at a place now that the list names them, be it as
+    /// gone.
+    fn place_standing(&mut self, list: &[MachineLine]) -> Vec<MachineLine> {
+        let named = |line: &&MachineLine| self.unplaced.remove(&line.machine).is_some();
+        let named: Vec<&MachineLine> = list.iter().filter(named).collect();
+        named.into_iter().filter(|line| !self.shows(line.machine)).map(Self::gone).collect()
     }
 
     /// The view is bounded where the fleet is larger than it, and no more where it is smaller by a quarter.
@@ -543,15 +542,20 @@
         }
         events.push(event.clone());
         match event {
-            Event::Standing { machine, .. } if !self.fleet.contains_key(machine) => {
-                self.unplaced.insert(*machine);
+            Event::Standing { request, machine } if !self.fleet.contains_key(machine) => {
+                self.unplaced.entry(*machine).or_default().insert(request.request);
             }
             Event::Standing { machine, .. } if self.bounded && !self.shown.contains(machine) => {
                 let line = self.fleet.get(machine).map(|known| Self::gone(&known.line));
                 self.tell(line.into_iter().collect(), events);
             }
-            Event::Ended { machine, .. } => {
-                self.unplaced.remove(machine);
+            Event::Ended { request, machine, .. } => {
+                if let Some(requests) = self.unplaced.get_mut(machine) {
+                    requests.remove(request);
+                    if requests.is_empty() {
+                        self.unplaced.remove(machine);
+                    }
+                }
             }
             _ => {}
         }
--- a/crates/fleet/tests/beyond.rs
+++ b/crates/fleet/tests/beyond.rs
@@ -125,6 +125,45 @@
     spreads_but_not_to(&mut driver, 9, &full, 1);
 }
 
+#[test]
+fn tasks_handed_over_before_the_list_count_at_their_place_once_it_names_it() {
+    for delta in [false, true] {
+        let probe = driver();
+        let full: Vec<MachineId> = outside(&probe).step_by(40).take(20).collect();
+        let mut driver = Driver::new(&settings(100, 3), SIZE, 5);
+        if delta {
+            let known = (0..2_000).filter(|m| !full.contains(&MachineId(*m)));
+            driver.list(ListScope::Full, lines(known));
+        }
+        for (i, machine) in (0..).zip(full.iter().flat_map(|m| [m, m, m])) {
+            standing(&mut driver, 1_000 + i, *machine);
+        }
+        // One of three is over: two stand there still.
+        for (i, machine) in (0..).zip(&full) {
+            driver.tell(ended(1_000 + i * 3, 0, *machine, Outcome::Done));
+        }
+        match delta {
+            true => driver.list(ListScope::Delta, lines(full.iter().map(|m| m.0))),
+            false => driver.list(ListScope::Full, lines(0..2_000)),
+        };
+        spreads_but_not_to(&mut driver, 9, &full, 1);
+    }
+}
+
+/// Danger: a list that names a machine as gone still names its place.
+#[test]
+fn tasks_on_a_machine_that_the_list_names_as_gone_count_at_its_place() {
+    for scope in [ListScope::Delta, ListScope::Full] {
+        let mut driver = driver();
+        let machine = MachineId(5_000);
+        (0..2).for_each(|i| standing(&mut driver, 1_000 + i, machine));
+        let gone = MachineLine { state: MachineState::Gone, ..line(machine.0) };
+        let rest = if scope == ListScope::Full { lines(0..2_000) } else { Vec::new() };
+        driver.list(scope, rest.into_iter().chain([gone]).collect());
+        spreads_but_not_to(&mut driver, 9, &[machine], 1);
+    }
+}
+
 #[test]
 fn tasks_on_machines_that_leave_the_view_count_at_their_place() {
     let mut driver = driver();
