bench capacity: the tables and charts of docs/CAPACITY.md from target and rows

The operators name the size that they are heading for; the page that says what each role needs there, against which budget, and what carries it has to come from measured rows, and a test has to fail where page and figures differ.

Demands are templates (minijinja). - A figure at the target is the sum of the slopes; beyond what was measured it says so; without rows it is `not measured`.

--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -54,6 +54,18 @@
         #[arg(long, value_name = "FILE")]
         out: Option<PathBuf>,
     },
+    /// The tables and charts of docs/CAPACITY.md, from the rows of `scale`.
+    Capacity {
+        /// A file of rows; may be repeated. All of bench/scale/*.jsonl where left out.
+        #[arg(long, value_name = "FILE")]
+        rows: Vec<PathBuf>,
+        /// Writes nothing, and fails where page or charts are not what the figures make.
+        #[arg(long)]
+        check: bool,
+        /// The repository.
+        #[arg(long, value_name = "DIR", default_value = ".")]
+        root: PathBuf,
+    },
     /// One point of `scale`, in a process of its own.
     #[command(hide = true)]
     ScalePoint {
@@ -87,6 +99,7 @@
             };
             peppercove_scale::run::sweeps(role, *quick, &mut out)?;
         }
+        BenchCommand::Capacity { rows, check, root } => peppercove_scale::page::run(root, rows, *check)?,
         BenchCommand::ScalePoint { role, at, quick } => peppercove_scale::run::point(role, at, *quick)?,
         BenchCommand::Relay { nodes } => LocalSet::new().block_on(&runtime, relay(nodes))?,
     }
--- /dev/null
+++ b/crates/scale/src/page/tables.rs
@@ -0,0 +1,524 @@
+//! The page's tables of needs: roles, ranking, target, assumptions, sizes.
+
+use crate::page::book::{Book, Estimate};
+use crate::page::need::{Budget, Needs, Times, Worked, ranked};
+use crate::page::words::{axis, short, table, with_unit};
+use crate::row::{Axis, Basis, Row};
+use crate::slope::Slope;
+use crate::target::{Assumed, Target};
+use anyhow::{Context, Result};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The roles that have needs, in their order.
+pub fn roles(needs: &Needs) -> Vec<&str> {
+    let mut seen = BTreeSet::new();
+    needs.needs.iter().map(|n| n.role.as_str()).filter(|role| seen.insert(*role)).collect()
+}
+
+fn from(estimate: Option<&Estimate>) -> String {
+    let Some(e) = estimate else { return String::new() };
+    let along = e.axes.iter().map(|a| {
+        let beyond = if e.outside.contains(a) { " (beyond what was measured)" } else { "" };
+        format!("{}{beyond}", axis(*a))
+    });
+    let hollow = if e.subject.hollow { "hollow" } else { "real" };
+    format!(
+        "{} along {}; {hollow}; {}",
+        e.subject.measure,
+        along.collect::<Vec<_>>().join(", "),
+        e.files.join(", ")
+    )
+}
+
+fn budget(worked: &Worked, target: &Target) -> String {
+    match worked.need.budget.figure(target) {
+        Some((figure, unit)) => format!("{}: {}", worked.need.budget.words(), with_unit(Some(figure), unit)),
+        None => Budget::None.words().into(),
+    }
+}
+
+fn need(worked: &Worked, target: &Target) -> String {
+    let own = || match worked.estimate.as_ref().map(|e| crate::page::need::plain(&e.unit).1) {
+        Some("s") if worked.need.times != Times::Once => "cores",
+        Some("s") => "s",
+        Some("bytes") if worked.need.times != Times::Once => "bytes/s",
+        Some("bytes") => "bytes",
+        _ => "count",
+    };
+    with_unit(worked.figure, worked.need.budget.figure(target).map_or_else(own, |(_, unit)| unit))
+}
+
+/// How many of each role, why, and the sizes that one of them meets.
+pub fn of_roles(needs: &Needs, target: &Target) -> String {
+    let rows = roles(needs).into_iter().map(|role| {
+        let at = target.at(role);
+        let sizes = [at.machines, at.schedulers, at.standing, at.starts, at.connections, at.tenants];
+        let mut cells =
+            vec![role.to_owned(), short(Some(target.processes(role))), Target::why(role).to_owned()];
+        cells.extend(sizes.map(|size| short(Some(size as f64))));
+        cells
+    });
+    let head = [
+        "role",
+        "how many",
+        "why",
+        "machines",
+        "schedulers",
+        "standing tasks of one",
+        "starts/s of one at the peak",
+        "connections of one",
+        "teams",
+    ];
+    table(&head, rows.collect())
+}
+
+/// Each need: figure, budget, slope, mechanism.
+pub fn of_needs(worked: &[Worked], target: &Target) -> String {
+    let rows = worked.iter().map(|w| {
+        let each = w.estimate.as_ref();
+        let place = if w.need.place.is_empty() { String::new() } else { format!(" (`{}`)", w.need.place) };
+        vec![
+            w.need.role.clone(),
+            w.need.name.clone(),
+            each.map_or_else(|| short(None), |e| with_unit(Some(e.figure), &e.unit)),
+            match w.need.times {
+                Times::Once => Times::Once.words().to_owned(),
+                times => format!("{} {}", short(Some(w.times)), times.words()),
+            },
+            need(w, target),
+            budget(w, target),
+            if w.need.budget == Budget::None { "-".into() } else { short(w.ratio) },
+            from(each),
+            w.need.mechanism.clone() + &place,
+        ]
+    });
+    let head = [
+        "role",
+        "need",
+        "one, at that size",
+        "times",
+        "need of one process",
+        "budget",
+        "need over budget",
+        "from",
+        "carried by",
+    ];
+    table(&head, rows.collect())
+}
+
+/// What all processes of a role need together by the largest row of each budget, beside the machines set aside.
+pub fn together(worked: &[Worked], target: &Target) -> String {
+    let mut largest: BTreeMap<(&str, Summed), f64> = BTreeMap::new();
+    for w in worked {
+        let (Some(figure), Some(kind)) = (w.figure, Summed::of(w.need.budget)) else { continue };
+        let all = figure * target.processes(&w.need.role);
+        let most = largest.entry((w.need.role.as_str(), kind)).or_default();
+        *most = most.max(all);
+    }
+    let cores = target.set_aside * target.taken(Assumed::CoresAMachine);
+    let rows = largest.into_iter().map(|((role, kind), all)| {
+        let (what, unit) = match kind {
+            Summed::Core => ("processor time", "cores"),
+            Summed::Memory => ("memory", "bytes"),
+            Summed::Bytes => ("bytes a second", "bytes/s"),
+        };
+        let share = if kind == Summed::Core {
+            format!("{} of {} cores set aside", short(Some(all / cores)), short(Some(cores)))
+        } else {
+            format!("{} on each machine set aside", with_unit(Some(all / target.set_aside), unit))
+        };
+        vec![role.to_owned(), what.to_owned(), with_unit(Some(all), unit), share]
+    });
+    let rows: Vec<Vec<String>> = rows.collect();
+    table(&["role", "what", "all of them", "share"], if rows.is_empty() { vec![none(4)] } else { rows })
+}
+
+/// The budgets that add up over processes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Summed {
+    Core,
+    Memory,
+    Bytes,
+}
+
+impl Summed {
+    fn of(budget: Budget) -> Option<Summed> {
+        match budget {
+            Budget::Core => Some(Summed::Core),
+            Budget::Memory => Some(Summed::Memory),
+            Budget::Bytes => Some(Summed::Bytes),
+            _ => None,
+        }
+    }
+}
+
+fn none(cells: usize) -> Vec<String> {
+    let mut row = vec![String::new(); cells];
+    row[0] = short(None);
+    row
+}
+
+/// Need over budget, largest first; then what was not measured, then what does not exist.
+pub fn of_ranking(worked: &[Worked], needs: &Needs, target: &Target) -> String {
+    let mut rows: Vec<Vec<String>> = Vec::new();
+    for w in ranked(worked) {
+        let next =
+            if w.ratio.is_some_and(|r| r > 1.0) { w.need.next.clone() } else { "within budget".into() };
+        rows.push(vec![
+            (rows.len() + 1).to_string(),
+            w.need.role.clone(),
+            w.need.name.clone(),
+            need(w, target),
+            budget(w, target),
+            short(w.ratio),
+            next,
+        ]);
+    }
+    for w in worked.iter().filter(|w| w.estimate.is_none() && w.need.budget != Budget::None) {
+        let (role, name) = (w.need.role.clone(), w.need.name.clone());
+        rows.push(vec![
+            "-".into(),
+            role,
+            name,
+            short(None),
+            budget(w, target),
+            short(None),
+            w.need.next.clone(),
+        ]);
+    }
+    for a in &needs.absent {
+        let (role, what) = ("-".to_owned(), a.what.clone());
+        rows.push(vec![
+            "-".into(),
+            role,
+            what,
+            "does not exist".into(),
+            String::new(),
+            short(None),
+            a.next.clone(),
+        ]);
+    }
+    table(&["rank", "role", "need", "need of one process", "budget", "need over budget", "next"], rows)
+}
+
+/// A template over the target's figures, filled in.
+fn filled(text: &str, target: &Target) -> Result<String> {
+    let mut figures: BTreeMap<String, f64> = target.figures()?.into_iter().collect();
+    let more = [
+        ("starts_of_one", target.starts_a_second / target.taken(Assumed::Schedulers)),
+        ("mean_starts", target.mean_starts()),
+        ("configuration_changes", target.configuration_changes()),
+        ("list_changes", target.list_changes()),
+    ];
+    figures.extend(more.map(|(name, figure)| (name.to_owned(), figure)));
+    let mut env = minijinja::Environment::new();
+    env.set_undefined_behavior(minijinja::UndefinedBehavior::Strict);
+    env.add_filter("short", |figure: f64| short(Some(figure)));
+    env.render_str(text, figures).with_context(|| format!("the text {text:?}"))
+}
+
+/// Each line of the target, what carries it and what shows that.
+///
+/// # Errors
+/// Where a line names a figure that the target has not.
+pub fn of_lines(worked: &[Worked], needs: &Needs, target: &Target) -> Result<String> {
+    let rows = needs.lines.iter().map(|line| {
+        let shown = line.needs.iter().filter_map(|name| worked.iter().find(|w| w.need.name == *name));
+        let shown: Vec<String> = shown
+            .map(|w| match w.ratio {
+                Some(ratio) => format!("{}: {} of its budget", w.need.name, short(Some(ratio))),
+                None => format!("{}: {}", w.need.name, need(w, target)),
+            })
+            .collect();
+        let shown = if shown.is_empty() { "no run".into() } else { shown.join("; ") };
+        Ok(vec![filled(&line.line, target)?, line.carried.clone(), shown, line.missing.clone()])
+    });
+    let rows = rows.collect::<Result<Vec<_>>>()?;
+    Ok(table(
+        &["target", "carried by", "shown by, need over budget", "missing, and where that is listed"],
+        rows,
+    ))
+}
+
+/// What does not exist yet: demand, no figure of its own.
+///
+/// # Errors
+/// Where a demand names a figure that the target has not.
+pub fn of_absent(needs: &Needs, target: &Target) -> Result<String> {
+    let rows = needs.absent.iter().map(|a| {
+        Ok(vec![a.what.clone(), filled(&a.demand, target)?, a.today.clone(), short(None), a.next.clone()])
+    });
+    let rows = rows.collect::<Result<Vec<_>>>()?;
+    Ok(table(&["what", "its demand", "today", "need over budget", "next"], rows))
+}
+
+/// Each assumption at half and at twice its value: the needs whose ratio moves by a twentieth or more.
+///
+/// # Errors
+/// As [`Worked::out`].
+pub fn of_assumptions(needs: &Needs, book: &Book, target: &Target) -> Result<String> {
+    let taken = Worked::all(needs, book, target)?;
+    let mut rows = Vec::new();
+    for assumption in &target.assumptions {
+        let mut cells = vec![
+            assumption.question.clone(),
+            format!("{}: {}", short(Some(assumption.taken)), assumption.why),
+        ];
+        for factor in [0.5, 2.0] {
+            let value = assumption.taken * factor;
+            if assumption.name == Assumed::ControlShare && value > 1.0 {
+                cells.push("1 is all there is".into());
+                continue;
+            }
+            let other = target.with(assumption.name, value);
+            let moved = Worked::all(needs, book, &other)?;
+            let moved = taken.iter().zip(&moved).filter_map(|(before, after)| {
+                let (b, a) = (before.ratio?, after.ratio?);
+                ((a - b).abs() > b * 0.05)
+                    .then(|| format!("{} {} (was {})", before.need.name, short(Some(a)), short(Some(b))))
+            });
+            let mut moved: Vec<String> = moved.collect();
+            let mean = (target.mean_starts(), other.mean_starts());
+            if mean.0 != mean.1 {
+                moved.push(format!(
+                    "mean of the day {} starts/s (was {})",
+                    short(Some(mean.1)),
+                    short(Some(mean.0))
+                ));
+            }
+            if assumption.name == Assumed::CoresAMachine {
+                moved.push(format!("{} cores set aside in all", short(Some(value * target.set_aside))));
+            }
+            if assumption.name == Assumed::MachinesARack {
+                moved.push(format!(
+                    "{} tasks on a rack",
+                    short(Some(value * target.standing / target.machines))
+                ));
+            }
+            let text = if moved.is_empty() {
+                "no measured need moves by a twentieth".into()
+            } else {
+                moved.join("; ")
+            };
+            cells.push(format!("{}: {text}", short(Some(value))));
+        }
+        rows.push(cells);
+    }
+    Ok(table(&["open", "taken as", "need over budget at half of it", "at twice"], rows))
+}
+
+/// Need over budget at a tenth of the size, at it, and at ten times.
+///
+/// # Errors
+/// As [`Worked::out`].
+pub fn of_sizes(needs: &Needs, book: &Book, target: &Target) -> Result<String> {
+    let sizes = [0.1, 1.0, 10.0].map(|factor| target.scaled(factor));
+    let worked = sizes.iter().map(|t| Worked::all(needs, book, t)).collect::<Result<Vec<_>>>()?;
+    let mut rows = Vec::new();
+    for (i, need) in needs.needs.iter().enumerate() {
+        if need.budget == Budget::None {
+            continue;
+        }
+        let mut cells = vec![need.role.clone(), need.name.clone()];
+        cells.extend(worked.iter().map(|w| short(w[i].ratio)));
+        rows.push(cells);
+    }
+    let first = |worked: &Vec<Worked>| match ranked(worked).first() {
+        Some(w) if w.ratio.is_some_and(|r| r > 1.0) => w.need.name.clone(),
+        Some(_) => "nothing measured".into(),
+        None => short(None),
+    };
+    let mut last = vec!["**gives out first**".to_owned(), String::new()];
+    last.extend(worked.iter().map(first));
+    rows.push(last);
+    let heads = sizes.map(|t| format!("{} machines", short(Some(t.machines))));
+    Ok(table(&["role", "need over budget of", &heads[0], &heads[1], &heads[2]], rows))
+}
+
+/// Points that a prediction rests on are no larger than this many machines.
+pub const KNOWN_TO: u64 = 1_300;
+
+/// The largest size along machines, foretold from those up to [`KNOWN_TO`], beside what was measured there; and runs with
+/// several axes up together beside the sum of the slopes.
+pub fn of_predictions(book: &Book) -> String {
+    let mut rows = Vec::new();
+    let compared = |what: String, measure: &Row, from: usize, foretold: f64, file: &str| {
+        let (figure, unit) = (measure.figure.median, &measure.figure.unit);
+        let off = if figure > 0.0 { Some((foretold / figure - 1.0) * 100.0) } else { None };
+        vec![
+            measure.role.clone(),
+            measure.figure.measure.clone(),
+            what,
+            from.to_string(),
+            with_unit(Some(foretold), unit),
+            with_unit(Some(figure), unit),
+            off.map_or_else(|| "-".into(), |off| format!("{off:+.0}%")),
+            file.to_owned(),
+        ]
+    };
+    for (subject, along, curve) in book.curves() {
+        let Some(last) = curve.rows.last().filter(|r| along.of(&r.at) > KNOWN_TO) else { continue };
+        match along {
+            Axis::Machines => {
+                let known = curve.rows.iter().filter(|r| r.at.machines <= KNOWN_TO);
+                let known: Vec<(f64, f64)> = known.map(|r| (r.at.machines as f64, r.figure.median)).collect();
+                let Some(slope) = Slope::fit(&known) else { continue };
+                let foretold = slope.predict(last.at.machines as f64);
+                let what = format!(
+                    "{} machines, from at most {}",
+                    short(Some(last.at.machines as f64)),
+                    short(Some(KNOWN_TO as f64))
+                );
+                rows.push(compared(what, last, known.len(), foretold, &curve.file));
+            }
+            Axis::Together => {
+                let Some(sum) = book.estimate(subject, &last.at) else { continue };
+                let what = format!(
+                    "{} machines, all axes up; from the sum of the slopes",
+                    short(Some(last.at.machines as f64))
+                );
+                rows.push(compared(what, last, sum.axes.len(), sum.figure, &curve.file));
+            }
+            _ => {}
+        }
+    }
+    if rows.is_empty() {
+        rows.push(none(8));
+    }
+    table(&["role", "measure", "size", "points or slopes", "foretold", "measured", "error", "file"], rows)
+}
+
+/// Each curve: exponent, spread, points; and the line of code where the exponent is over 1.
+pub fn of_slopes(book: &Book, needs: &Needs) -> String {
+    let mut rows = Vec::new();
+    for (subject, along, curve) in book.curves() {
+        let (Some(first), Some(last)) = (curve.rows.first(), curve.rows.last()) else { continue };
+        let unit = &first.figure.unit;
+        let exponent = curve.slope.map_or_else(
+            || if curve.rows.len() > 1 { "-".to_owned() } else { "one point".to_owned() },
+            |s| match s.error.is_finite() {
+                true => format!("{:.2} ± {:.2}", s.exponent, s.error),
+                false => format!("{:.2}", s.exponent),
+            },
+        );
+        // Two standard errors and a twentieth over 1 are no chance; two points alone have no error.
+        let over =
+            curve.slope.is_some_and(|s| s.exponent > 1.05 && s.exponent - 2.0 * s.error.max(0.0) > 1.0);
+        let known = needs
+            .steep
+            .iter()
+            .find(|s| s.role == subject.role && s.measure == subject.measure && s.axis == along);
+        let line = match (known, over) {
+            (Some(known), true) => known.line.clone(),
+            (None, true) => "over 1: line not known".into(),
+            _ => String::new(),
+        };
+        let repeats = curve.rows.iter().filter(|r| r.figure.median > 0.0);
+        let spread = repeats.map(|r| (r.figure.high - r.figure.low) / r.figure.median).fold(0.0, f64::max);
+        let basis = match first.figure.basis {
+            Basis::Counted => "counted",
+            Basis::Timed => "timed",
+            Basis::Resident => "resident",
+        };
+        let (least, most) = curve.range(along);
+        rows.push(vec![
+            subject.role.clone(),
+            subject.measure.clone(),
+            axis(along),
+            format!("{} to {}", short(Some(least as f64)), short(Some(most as f64))),
+            with_unit(Some(first.figure.median), unit),
+            with_unit(Some(last.figure.median), unit),
+            exponent,
+            format!("{:.0}%", spread * 100.0),
+            curve.rows.len().to_string(),
+            format!("{basis}, {}", if subject.hollow { "hollow" } else { "real" }),
+            line,
+        ]);
+    }
+    if rows.is_empty() {
+        rows.push(none(11));
+    }
+    let head = [
+        "role",
+        "measure",
+        "along",
+        "sizes",
+        "at the least",
+        "at the largest",
+        "exponent",
+        "widest spread",
+        "points",
+        "basis",
+        "line of code",
+    ];
+    table(&head, rows)
+}
+
+/// The same sizes run hollow and with real processes.
+pub fn of_both_ways(book: &Book) -> String {
+    let mut rows = Vec::new();
+    let all: Vec<(&Row, &str)> =
+        book.curves().flat_map(|(_, _, c)| c.rows.iter().map(|r| (r, c.file.as_str()))).collect();
+    let mut seen = BTreeSet::new();
+    for (real, real_file) in all.iter().filter(|(r, _)| !r.hollow) {
+        let same = |r: &Row| {
+            r.hollow
+                && r.at == real.at
+                && r.figure.measure == real.figure.measure
+                && r.figure.unit == real.figure.unit
+        };
+        for (hollow, hollow_file) in all.iter().filter(|(r, _)| same(r)) {
+            let (a, b, unit) = (hollow.figure.median, real.figure.median, &real.figure.unit);
+            let (at, role) = (&real.at, &real.role);
+            let sizes = format!(
+                "{} machines, {} schedulers, {} standing, {} starts/s, {} connections",
+                at.machines, at.schedulers, at.standing, at.starts, at.connections
+            );
+            let row = vec![
+                real.figure.measure.clone(),
+                sizes,
+                format!("{} ({})", with_unit(Some(a), unit), hollow.role),
+                format!("{} ({role})", with_unit(Some(b), unit)),
+                if a > 0.0 { format!("{:+.0}%", (b / a - 1.0) * 100.0) } else { "-".into() },
+                format!("{hollow_file}, {real_file}"),
+            ];
+            if seen.insert(row.clone()) {
+                rows.push(row);
+            }
+        }
+    }
+    if rows.is_empty() {
+        rows.push(none(6));
+    }
+    table(&["measure", "size", "hollow", "real", "difference", "files"], rows)
+}
+
+/// The files and the commands that write them.
+pub fn of_sources(book: &Book) -> String {
+    let mut rows: Vec<Vec<String>> = book
+        .sources
+        .iter()
+        .map(|source| {
+            let roles: BTreeSet<&str> = source.rows.iter().map(|r| r.role.as_str()).collect();
+            let axes: BTreeSet<Axis> = source.rows.iter().map(|r| r.sweep).collect();
+            let every = crate::roles::ROLES.iter().all(|r| roles.contains(r.name));
+            let only: String = roles.iter().map(|r| format!(" --role {r}")).collect();
+            let quick = if source.name.contains("quick") { " --quick" } else { "" };
+            vec![
+                source.name.clone(),
+                format!(
+                    "`peppercove bench scale{quick}{} --out {}`",
+                    if every { "" } else { &only },
+                    source.name
+                ),
+                roles.into_iter().collect::<Vec<_>>().join(", "),
+                axes.into_iter().map(axis).collect::<Vec<_>>().join(", "),
+                source.rows.len().to_string(),
+            ]
+        })
+        .collect();
+    if rows.is_empty() {
+        rows.push(none(5));
+    }
+    table(&["file", "command", "roles", "axes", "rows"], rows)
+}
