--- a/crates/scale/src/chart.rs
+++ b/crates/scale/src/chart.rs
@@ -2,6 +2,7 @@
 
 use crate::page::book::Book;
 use crate::page::need::{Budget, Needs, Worked};
+use crate::page::words::short;
 use crate::target::Target;
 use anyhow::{Result, anyhow};
 use plotters::prelude::*;
@@ -9,6 +10,9 @@
 /// Sizes drawn: a tenth to ten times the target.
 const STEPS: i32 = 8;
 
+/// A need below this part of its budget is drawn at the lower edge.
+const LEAST: f64 = 1e-4;
+
 /// The sizes, as multiples of the target.
 pub fn factors() -> Vec<f64> {
     (-STEPS..=STEPS).map(|i| 10f64.powf(f64::from(i) / f64::from(STEPS))).collect()
@@ -46,8 +50,7 @@
     let ratios = lines.iter().flat_map(|(_, points)| points.iter().map(|p| p.1));
     let (least, most) = ratios.fold((1.0f64, 1.0f64), |(l, m), r| (l.min(r), m.max(r)));
     let tens = |power: f64| 10f64.powf(power);
-    // Needs far below any budget end at the lower edge.
-    let edges = (tens(least.max(1e-6).log10().floor() - 0.1), tens(most.log10().ceil() + 0.1));
+    let edges = (tens(least.max(LEAST).log10().floor() - 0.1), tens(most.log10().ceil() + 0.1));
     let mut svg = String::new();
     drawn(&mut svg, role, &lines, edges, target).map_err(|e| anyhow!("the chart of {role}: {e}"))?;
     Ok(Some(svg + "\n"))
@@ -56,8 +59,17 @@
 fn drawn(
     svg: &mut String, role: &str, lines: &[Line], (low, high): (f64, f64), target: &Target,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let area = SVGBackend::with_string(svg, (900, 520)).into_drawing_area();
-    area.fill(&WHITE)?;
+    let whole = SVGBackend::with_string(svg, (1_000, 520)).into_drawing_area();
+    whole.fill(&WHITE)?;
+    // Beside the lines, so that none is hidden.
+    let (area, legend) = whole.split_horizontally(680);
+    let mut named = 0;
+    let mut name = |text: &str, style: ShapeStyle| {
+        let y = 48 + 18 * named;
+        named += 1;
+        legend.draw(&PathElement::new([(4, y + 6), (22, y + 6)], style))?;
+        legend.draw(&Text::new(text.to_owned(), (28, y), ("sans-serif", 14)))
+    };
     let (from, to) = (target.scaled(0.1).machines, target.scaled(10.0).machines);
     let mut chart = ChartBuilder::on(&area)
         .caption(format!("{role}: need over budget against the size of the fleet"), ("sans-serif", 18))
@@ -70,30 +82,20 @@
         .light_line_style(TRANSPARENT)
         .x_desc("machines of the fleet, all else in proportion")
         .y_desc("need over budget")
-        .x_label_formatter(&|x| format!("{x:.0}"))
-        .y_label_formatter(&|y| if *y >= 1.0 { format!("{y:.0}") } else { format!("{y}") })
+        .x_label_formatter(&|x| short(Some(*x)))
+        .y_label_formatter(&|y| short(Some(*y)))
         .draw()?;
     let budget = BLACK.stroke_width(2);
-    chart
-        .draw_series(LineSeries::new([(from, 1.0), (to, 1.0)], budget))?
-        .label("budget")
-        .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], budget));
-    let size = BLACK.mix(0.3);
+    chart.draw_series(LineSeries::new([(from, 1.0), (to, 1.0)], budget))?;
+    name("budget", budget)?;
+    let size = BLACK.mix(0.3).stroke_width(1);
     chart.draw_series(LineSeries::new([(target.machines, low), (target.machines, high)], size))?;
-    for (i, (name, points)) in lines.iter().enumerate() {
+    name("the target's size", size)?;
+    for (i, (need, points)) in lines.iter().enumerate() {
         let color = Palette99::pick(i).stroke_width(2);
-        let shown = points.iter().map(|&(x, y)| (x, y.max(low)));
-        chart
-            .draw_series(LineSeries::new(shown, color))?
-            .label(name)
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color));
+        chart.draw_series(LineSeries::new(points.iter().map(|&(x, y)| (x, y.max(low))), color))?;
+        name(need, color)?;
     }
-    chart
-        .configure_series_labels()
-        .position(SeriesLabelPosition::UpperLeft)
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK.mix(0.2))
-        .draw()?;
-    area.present()?;
+    whole.present()?;
     Ok(())
 }
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -86,7 +86,7 @@
             ("assumptions", tables::of_assumptions(needs, book, target)?),
             ("trouble", trouble::of_trouble(&worked, needs, target)),
             ("sizes", tables::of_sizes(needs, book, target)?),
-            ("predictions", tables::of_predictions(book)),
+            ("predictions", tables::of_predictions(book, needs)),
             ("both-ways", tables::of_both_ways(book)),
             ("slopes", tables::of_slopes(book, needs)),
             ("charts", self.chart_list()?),
--- a/crates/scale/src/page/book.rs
+++ b/crates/scale/src/page/book.rs
@@ -1,6 +1,6 @@
 //! Rows of all files, and what they say of a size.
 
-use crate::row::{At, Axis, Row};
+use crate::row::{At, Axis, Basis, Row};
 use crate::slope::Slope;
 use anyhow::{Context, Result};
 use std::collections::BTreeMap;
@@ -65,12 +65,27 @@
         self.rows.iter().map(|r| (axis.of(&r.at) as f64, r.figure.median)).collect()
     }
 
+    /// The widest spread of a point's repeats, as a share of its median.
+    pub fn spread(&self) -> f64 {
+        let repeats = self.rows.iter().map(|r| &r.figure).filter(|f| f.median > 0.0);
+        repeats.map(|f| (f.high - f.low) / f.median).fold(0.0, f64::max)
+    }
+
     /// The least and the largest size measured.
     pub fn range(&self, axis: Axis) -> (u64, u64) {
         let size = |row: Option<&Row>| row.map_or(0, |r| axis.of(&r.at));
         (size(self.rows.first()), size(self.rows.last()))
     }
 
+    /// What a size adds to a figure beside where the axis stood: never against the axis, since a figure that falls while
+    /// its axis rises is noise or another measure's doing, and nothing by which a time does not grow beyond its error.
+    fn adds(&self, axis: Axis, size: f64, stood: f64) -> f64 {
+        let timed = self.rows.iter().any(|r| r.figure.basis == Basis::Timed);
+        let grows = self.slope.is_some_and(|s| !timed || s.exponent > 2.0 * s.error.max(0.0));
+        let more = self.at(axis, size) - self.at(axis, stood);
+        if grows && more * (size - stood) > 0.0 { more } else { 0.0 }
+    }
+
     /// The figure at a size: between two points a straight line on logarithmic axes (on plain ones where one is zero);
     /// outside them by the exponent of all points, from the nearest. One point alone says the same everywhere.
     pub fn at(&self, axis: Axis, size: f64) -> f64 {
@@ -110,6 +125,23 @@
     pub files: Vec<String>,
 }
 
+impl Estimate {
+    /// Both together; none where their units differ.
+    pub fn plus(mut self, other: &Estimate) -> Option<Estimate> {
+        fn join<T: Clone + Ord>(all: &mut Vec<T>, more: &[T]) {
+            all.extend_from_slice(more);
+            all.sort();
+            all.dedup();
+        }
+        self.figure += other.figure;
+        self.subject.measure += &format!(" + {}", other.subject.measure);
+        join(&mut self.axes, &other.axes);
+        join(&mut self.outside, &other.outside);
+        join(&mut self.files, &other.files);
+        (self.unit == other.unit).then_some(self)
+    }
+}
+
 /// Rows of all files.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -171,7 +203,7 @@
         for (axis, curve) in rest {
             // Where this axis stood while the first one rose.
             let stood = along[0].1.rows.first().map_or(0, |r| axis.of(&r.at));
-            figure += curve.at(*axis, axis.of(at) as f64) - curve.at(*axis, stood as f64);
+            figure += curve.adds(*axis, axis.of(at) as f64, stood as f64);
         }
         let outside = along.iter().filter(|(axis, curve)| {
             let (least, most) = curve.range(*axis);
--- a/crates/scale/src/page/need.rs
+++ b/crates/scale/src/page/need.rs
@@ -24,7 +24,9 @@
     WholeLists,
     /// For each change of the configuration.
     ConfigurationChanges,
-    /// For each open connection.
+    /// For each start of one scheduler within the life of an idle connection, at the peak.
+    StartsInALife,
+    /// For each open connection between a scheduler and a machine.
     Connections,
     /// For each scheduler.
     Schedulers,
@@ -40,6 +42,10 @@
             Times::ListChanges => target.list_changes(),
             Times::WholeLists => 1.0 / target.taken(Assumed::RoomPeriodS),
             Times::ConfigurationChanges => target.configuration_changes(),
+            Times::StartsInALife => {
+                let each = target.starts_a_second / target.taken(Assumed::Schedulers);
+                each * target.taken(Assumed::ConnectionLifeS)
+            }
             Times::Connections => target.connections(role),
             Times::Schedulers => target.taken(Assumed::Schedulers),
         }
@@ -54,6 +60,7 @@
             Times::ListChanges => "machines gone or come a second",
             Times::WholeLists => "whole lists a second",
             Times::ConfigurationChanges => "changes a second",
+            Times::StartsInALife => "starts in the life of a connection",
             Times::Connections => "connections",
             Times::Schedulers => "schedulers",
         }
@@ -126,6 +133,9 @@
     pub role: String,
     /// Measures of it; the first that has rows counts.
     pub measures: Vec<String>,
+    /// More measures that are added to it; without rows of each, nothing is known.
+    #[serde(default)]
+    pub plus: Vec<String>,
     /// How often.
     pub times: Times,
     /// Against what.
@@ -264,8 +274,11 @@
     /// # Errors
     /// Where the measure's unit cannot be held against the budget.
     pub fn out(need: &Need, book: &Book, target: &Target) -> Result<Worked> {
-        let at = target.at(&need.role);
-        let estimate = book.subject(&need.role, &need.measures).and_then(|s| book.estimate(&s, &at));
+        let at = target.at();
+        let of =
+            |measures: &[String]| book.subject(&need.role, measures).and_then(|s| book.estimate(&s, &at));
+        let plus = need.plus.iter().map(|measure| of(std::slice::from_ref(measure)));
+        let estimate = plus.fold(of(&need.measures), |sum, more| sum?.plus(&more?));
         let share = if need.carries { target.taken(Assumed::ControlShare) } else { 1.0 };
         let times = need.times.figure(target, &need.role) * share;
         let mut worked = Worked { need: need.clone(), estimate, times, figure: None, ratio: None };
--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -48,26 +48,23 @@
     with_unit(worked.figure, worked.need.budget.figure(target).map_or_else(own, |(_, unit)| unit))
 }
 
-/// How many of each role, why, and the sizes that one of them meets.
+/// How many of each role, why, and what falls to one of them.
 pub fn of_roles(needs: &Needs, target: &Target) -> String {
     let rows = roles(needs).into_iter().map(|role| {
-        let at = target.at(role);
-        let sizes = [at.machines, at.schedulers, at.standing, at.starts, at.connections, at.tenants];
-        let mut cells =
-            vec![role.to_owned(), short(Some(target.processes(role))), Target::why(role).to_owned()];
-        cells.extend(sizes.map(|size| short(Some(size as f64))));
+        let many = target.processes(role);
+        let figures =
+            [target.standing / many, target.starts_a_second / many, target.connections(role).round()];
+        let mut cells = vec![role.to_owned(), short(Some(many)), Target::why(role).to_owned()];
+        cells.extend(figures.map(|figure| short(Some(figure))));
         cells
     });
     let head = [
         "role",
         "how many",
         "why",
-        "machines",
-        "schedulers",
         "standing tasks of one",
         "starts/s of one at the peak",
-        "connections of one",
-        "teams",
+        "connections of one with machines or schedulers at the peak",
     ];
     table(&head, rows.collect())
 }
@@ -316,7 +313,7 @@
     let worked = sizes.iter().map(|t| Worked::all(needs, book, t)).collect::<Result<Vec<_>>>()?;
     let mut rows = Vec::new();
     for (i, need) in needs.needs.iter().enumerate() {
-        if need.budget == Budget::None {
+        if worked.iter().all(|w| w[i].ratio.is_none()) {
             continue;
         }
         let mut cells = vec![need.role.clone(), need.name.clone()];
@@ -338,9 +335,15 @@
 /// Points that a prediction rests on are no larger than this many machines.
 pub const KNOWN_TO: u64 = 1_300;
 
-/// The largest size along machines, foretold from those up to [`KNOWN_TO`], beside what was measured there; and runs with
+/// Of the measures that needs rest on: the largest size along machines, foretold from those up to [`KNOWN_TO`], beside what was measured there; and runs with
 /// several axes up together beside the sum of the slopes.
-pub fn of_predictions(book: &Book) -> String {
+pub fn of_predictions(book: &Book, needs: &Needs) -> String {
+    let used = |role: &str, measure: &String| {
+        needs
+            .needs
+            .iter()
+            .any(|n| n.role == role && (n.measures.contains(measure) || n.plus.contains(measure)))
+    };
     let mut rows = Vec::new();
     let compared = |what: String, measure: &Row, from: usize, foretold: f64, file: &str| {
         let (figure, unit) = (measure.figure.median, &measure.figure.unit);
@@ -356,7 +359,7 @@
             file.to_owned(),
         ]
     };
-    for (subject, along, curve) in book.curves() {
+    for (subject, along, curve) in book.curves().filter(|(s, _, _)| used(&s.role, &s.measure)) {
         let Some(last) = curve.rows.last().filter(|r| along.of(&r.at) > KNOWN_TO) else { continue };
         match along {
             Axis::Machines => {
@@ -388,33 +391,37 @@
     table(&["role", "measure", "size", "points or slopes", "foretold", "measured", "error", "file"], rows)
 }
 
-/// Each curve: exponent, spread, points; and the line of code where the exponent is over 1.
+/// Each curve that is not flat: exponent, spread, points, and the line of code where the exponent is over 1; then the flat
+/// ones by name.
 pub fn of_slopes(book: &Book, needs: &Needs) -> String {
-    let mut rows = Vec::new();
+    let (mut rows, mut flat, mut single) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
     for (subject, along, curve) in book.curves() {
         let (Some(first), Some(last)) = (curve.rows.first(), curve.rows.last()) else { continue };
-        let unit = &first.figure.unit;
-        let exponent = curve.slope.map_or_else(
-            || if curve.rows.len() > 1 { "-".to_owned() } else { "one point".to_owned() },
-            |s| match s.error.is_finite() {
-                true => format!("{:.2} ± {:.2}", s.exponent, s.error),
-                false => format!("{:.2}", s.exponent),
-            },
-        );
+        let (role, measure, unit) = (&subject.role, &subject.measure, &first.figure.unit);
+        if curve.rows.len() == 1 {
+            single.insert((role, measure), with_unit(Some(first.figure.median), unit));
+            continue;
+        }
+        let is_flat =
+            curve.slope.map_or(first.figure.median == last.figure.median, |s| s.exponent.abs() < 0.05);
+        if is_flat {
+            let at: &mut Vec<String> = flat.entry((role, measure)).or_default();
+            at.push(axis(along));
+            continue;
+        }
+        let exponent = curve.slope.map_or("-".to_owned(), |s| {
+            let error = if s.error.is_finite() { format!(" ± {:.2}", s.error) } else { String::new() };
+            format!("{:.2}{error}", s.exponent)
+        });
         // Two standard errors and a twentieth over 1 are no chance; two points alone have no error.
-        let over =
-            curve.slope.is_some_and(|s| s.exponent > 1.05 && s.exponent - 2.0 * s.error.max(0.0) > 1.0);
-        let known = needs
-            .steep
-            .iter()
-            .find(|s| s.role == subject.role && s.measure == subject.measure && s.axis == along);
-        let line = match (known, over) {
-            (Some(known), true) => known.line.clone(),
-            (None, true) => "over 1: line not known".into(),
-            _ => String::new(),
+        let over = |s: Slope| s.exponent > 1.05 && s.exponent - 2.0 * s.error.max(0.0) > 1.0;
+        let line = if curve.slope.is_some_and(over) {
+            let known =
+                needs.steep.iter().find(|s| s.role == *role && s.measure == *measure && s.axis == along);
+            known.map_or("over 1: line not known", |known| known.line.as_str())
+        } else {
+            ""
         };
-        let repeats = curve.rows.iter().filter(|r| r.figure.median > 0.0);
-        let spread = repeats.map(|r| (r.figure.high - r.figure.low) / r.figure.median).fold(0.0, f64::max);
         let basis = match first.figure.basis {
             Basis::Counted => "counted",
             Basis::Timed => "timed",
@@ -422,17 +429,17 @@
         };
         let (least, most) = curve.range(along);
         rows.push(vec![
-            subject.role.clone(),
-            subject.measure.clone(),
+            role.clone(),
+            measure.clone(),
             axis(along),
             format!("{} to {}", short(Some(least as f64)), short(Some(most as f64))),
             with_unit(Some(first.figure.median), unit),
             with_unit(Some(last.figure.median), unit),
             exponent,
-            format!("{:.0}%", spread * 100.0),
+            format!("{:.0}%", curve.spread() * 100.0),
             curve.rows.len().to_string(),
             format!("{basis}, {}", if subject.hollow { "hollow" } else { "real" }),
-            line,
+            line.to_owned(),
         ]);
     }
     if rows.is_empty() {
@@ -451,7 +458,19 @@
         "basis",
         "line of code",
     ];
-    table(&head, rows)
+    let mut text = table(&head, rows);
+    if !flat.is_empty() {
+        let flat = flat
+            .into_iter()
+            .map(|((role, measure), along)| format!("{role} {measure} ({})", along.join(", ")));
+        text +=
+            &format!("\nFlat, exponent below 0.05 either way: {}.\n", flat.collect::<Vec<_>>().join("; "));
+    }
+    if !single.is_empty() {
+        let single = single.into_iter().map(|((role, measure), figure)| format!("{role} {measure} {figure}"));
+        text += &format!("\nMeasured at one size alone: {}.\n", single.collect::<Vec<_>>().join("; "));
+    }
+    text
 }
 
 /// The same sizes run hollow and with real processes.
--- a/crates/scale/src/target.rs
+++ b/crates/scale/src/target.rs
@@ -190,19 +190,20 @@
         }
     }
 
-    /// The sizes that one process of a role meets.
-    pub fn at(&self, role: &str) -> At {
-        let each = |total: f64| (total / self.processes(role)).round().max(1.0) as u64;
+    /// The sizes that a scheduler meets, as the rows name them: of standing tasks and starts its own share; of
+    /// connections the owners', who hold at most a third of its descriptors.
+    pub fn at(&self) -> At {
         let whole = |count: f64| count.round().max(1.0) as u64;
+        let schedulers = self.taken(Assumed::Schedulers);
         At {
             machines: whole(self.machines),
-            schedulers: whole(self.taken(Assumed::Schedulers)),
-            standing: each(self.standing),
-            starts: each(self.starts_a_second),
+            schedulers: whole(schedulers),
+            standing: whole(self.standing / schedulers),
+            starts: whole(self.starts_a_second / schedulers),
             tenants: whole(self.tenants),
             classes: whole(self.taken(Assumed::Classes)),
             changes: whole(self.list_changes() + self.configuration_changes()),
-            connections: whole(self.connections(role)),
+            connections: whole(self.taken(Assumed::Descriptors) / 3.0),
         }
     }
 
@@ -226,7 +227,7 @@
         self.configuration_changes_a_day / DAY
     }
 
-    /// Connections between one process of a role and the other side at the peak. A scheduler that draws machines evenly
+    /// Connections between one process of a role and machines or schedulers at the peak. A scheduler that draws machines evenly
     /// has one open to each machine to which a start went within the life of an idle connection.
     pub fn connections(&self, role: &str) -> f64 {
         let schedulers = self.taken(Assumed::Schedulers);
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -4,7 +4,7 @@
 use peppercove_scale::page::need::{Budget, Needs, Worked, ranked};
 use peppercove_scale::page::words::{short, table, with_unit};
 use peppercove_scale::page::{self, Inputs, PAGE, fill};
-use peppercove_scale::row::{At, Axis, Measure, Row};
+use peppercove_scale::row::{At, Axis, Basis, Measure, Row};
 use peppercove_scale::slope::Slope;
 use peppercove_scale::target::{Assumed, Target};
 use std::fs;
@@ -114,6 +114,42 @@
     assert_eq!(book.estimate(&subject, &far).expect("an estimate").outside, [Axis::Machines]);
 }
 
+#[test]
+fn an_axis_along_which_a_time_does_not_grow_adds_nothing() {
+    let timed = |axis: Axis, points: &[(u64, f64)]| {
+        let mut rows = sweep("module", axis, "bind_time", "us", points);
+        rows.iter_mut().for_each(|r| r.figure.basis = Basis::Timed);
+        rows
+    };
+    let at = At { machines: 13_000, tenants: 530, ..At::BASE };
+    let figure = |tenants: &[(u64, f64)]| {
+        let mut rows = timed(Axis::Machines, &[(400, 100.0), (1_300, 330.0), (13_000, 3_000.0)]);
+        rows.extend(timed(Axis::Tenants, tenants));
+        let book = book(rows);
+        let subject = book.subject("module", &["bind_time".into()]).expect("rows");
+        book.estimate(&subject, &at).expect("an estimate").figure
+    };
+    let cases = [
+        ([(10, 900.0), (70, 100.0), (530, 90.0)], 3_000.0, "the first point was disturbed"),
+        ([(10, 100.0), (70, 120.0), (530, 101.0)], 3_000.0, "noise"),
+        ([(10, 100.0), (70, 200.0), (530, 410.0)], 3_310.0, "it grows"),
+    ];
+    for (tenants, wanted, why) in cases {
+        assert!((figure(&tenants) - wanted).abs() < 1e-6, "{why}: {}", figure(&tenants));
+    }
+}
+
+#[test]
+fn messages_both_ways_are_added() {
+    let of = |measure| sweep("serve", Axis::Machines, measure, "bytes", &[(400, 100.0), (13_000, 100.0)]);
+    let ways = ["owner_in_bytes", "owner_out_bytes", "host_out_bytes", "host_in_bytes"];
+    let some = worked_out(ways[..3].iter().flat_map(|way| of(way)).collect());
+    assert!(find(&some, "messages of starts").ratio.is_none(), "one way was not measured");
+    let all = worked_out(ways.iter().flat_map(|way| of(way)).collect());
+    let ratio = find(&all, "messages of starts").ratio.expect("measured");
+    assert!((ratio - 400.0 * 32.5 / 12_000.0).abs() < 1e-9, "{ratio}");
+}
+
 #[test]
 fn the_furthest_reaching_file_counts() {
     let of = |points: &[(u64, f64)]| sweep("module", Axis::Machines, "bind_time", "us", points);
@@ -144,7 +180,7 @@
     let worked = worked_out(rows);
     let ranked: Vec<(&str, f64)> =
         ranked(&worked).iter().map(|w| (w.need.name.as_str(), w.ratio.expect("ranked"))).collect();
-    assert_eq!(ranked[0].0, "descriptors");
+    assert_eq!(ranked[0].0, "descriptors of owners and hosts with tasks");
     assert!(ranked.windows(2).all(|pair| pair[0].1 >= pair[1].1), "{ranked:?}");
     assert!(ranked.iter().any(|(name, ratio)| *name == "memory of the module" && (ratio - 0.5).abs() < 1e-9));
     assert!(worked.iter().filter(|w| w.need.budget == Budget::None).all(|w| w.ratio.is_none()));
@@ -276,5 +312,5 @@
         (target.core_share, target.in_force_s, target.zones)
     );
     let half = target.with(Assumed::Schedulers, schedulers / 2.0);
-    assert_eq!((target.at("serve").starts, half.at("serve").starts), (33, 65), "32.5 and 65");
+    assert_eq!((target.at().starts, half.at().starts), (33, 65), "32.5 and 65");
 }
