bench capacity: real processes beside what the hollow slopes say of the same size

The page has to state the difference between hollow figures and real ones; the two roles name their measures by what they can see, and run at different bases, so that equal names at equal sizes would have met only by chance.

--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -87,7 +87,7 @@
             ("trouble", trouble::of_trouble(&worked, needs, target)),
             ("sizes", tables::of_sizes(needs, book, target)?),
             ("predictions", tables::of_predictions(book, needs)),
-            ("both-ways", tables::of_both_ways(book)),
+            ("both-ways", tables::of_both_ways(book, needs)),
             ("slopes", tables::of_slopes(book, needs)),
             ("charts", self.chart_list()?),
             ("sources", tables::of_sources(book)),
--- a/crates/scale/src/page/need.rs
+++ b/crates/scale/src/page/need.rs
@@ -196,6 +196,20 @@
     pub line: String,
 }
 
+/// Measures of real processes beside those of hollow ones that should say the same; each side is added up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pair {
+    /// The role that is real.
+    pub real_role: String,
+    /// Its measures.
+    pub real: Vec<String>,
+    /// The role that is hollow.
+    pub hollow_role: String,
+    /// Its measures.
+    pub hollow: Vec<String>,
+}
+
 /// Needs by name whose measures price one event of a trouble.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -226,6 +240,8 @@
     pub prices: Prices,
     /// Lines of code behind exponents over 1.
     pub steep: Vec<Steep>,
+    /// What is measured both ways.
+    pub pairs: Vec<Pair>,
 }
 
 impl Needs {
--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -1,7 +1,7 @@
 //! The page's tables of needs: roles, ranking, target, assumptions, sizes.
 
 use crate::page::book::{Book, Estimate};
-use crate::page::need::{Budget, Needs, Times, Worked, ranked};
+use crate::page::need::{Budget, Needs, Times, Worked, plain, ranked};
 use crate::page::words::{axis, short, table, with_unit};
 use crate::row::{Axis, Basis, Row};
 use crate::slope::Slope;
@@ -38,7 +38,7 @@
 }
 
 fn need(worked: &Worked, target: &Target) -> String {
-    let own = || match worked.estimate.as_ref().map(|e| crate::page::need::plain(&e.unit).1) {
+    let own = || match worked.estimate.as_ref().map(|e| plain(&e.unit).1) {
         Some("s") if worked.need.times != Times::Once => "cores",
         Some("s") => "s",
         Some("bytes") if worked.need.times != Times::Once => "bytes/s",
@@ -473,43 +473,44 @@
     text
 }
 
-/// The same sizes run hollow and with real processes.
-pub fn of_both_ways(book: &Book) -> String {
+/// Runs of real processes at the base's sizes, beside what the hollow slopes say of the same size.
+pub fn of_both_ways(book: &Book, needs: &Needs) -> String {
     let mut rows = Vec::new();
-    let all: Vec<(&Row, &str)> =
-        book.curves().flat_map(|(_, _, c)| c.rows.iter().map(|r| (r, c.file.as_str()))).collect();
-    let mut seen = BTreeSet::new();
-    for (real, real_file) in all.iter().filter(|(r, _)| !r.hollow) {
-        let same = |r: &Row| {
-            r.hollow
-                && r.at == real.at
-                && r.figure.measure == real.figure.measure
-                && r.figure.unit == real.figure.unit
-        };
-        for (hollow, hollow_file) in all.iter().filter(|(r, _)| same(r)) {
-            let (a, b, unit) = (hollow.figure.median, real.figure.median, &real.figure.unit);
-            let (at, role) = (&real.at, &real.role);
-            let sizes = format!(
-                "{} machines, {} schedulers, {} standing, {} starts/s, {} connections",
-                at.machines, at.schedulers, at.standing, at.starts, at.connections
-            );
-            let row = vec![
-                real.figure.measure.clone(),
-                sizes,
-                format!("{} ({})", with_unit(Some(a), unit), hollow.role),
-                format!("{} ({role})", with_unit(Some(b), unit)),
-                if a > 0.0 { format!("{:+.0}%", (b / a - 1.0) * 100.0) } else { "-".into() },
-                format!("{hollow_file}, {real_file}"),
-            ];
-            if seen.insert(row.clone()) {
-                rows.push(row);
-            }
+    let real = book.sources.iter().flat_map(|s| s.rows.iter().map(move |r| (r, s.name.as_str())));
+    let real: Vec<(&Row, &str)> = real.filter(|(r, _)| !r.hollow && r.sweep == Axis::Together).collect();
+    for pair in &needs.pairs {
+        let (Some(first), true) = (pair.real.first(), !pair.hollow.is_empty()) else { continue };
+        for (row, file) in real.iter().filter(|(r, _)| r.role == pair.real_role && r.figure.measure == *first)
+        {
+            let also = |measure: &String| {
+                let same = |r: &Row| r.role == row.role && r.at == row.at && r.figure.measure == *measure;
+                real.iter().find(|(r, f)| f == file && same(r)).map(|(r, _)| r.figure.median)
+            };
+            let processes: Option<f64> = pair.real.iter().map(also).sum();
+            let hollow = pair.hollow.iter().map(|measure| {
+                let subject = book.subject(&pair.hollow_role, std::slice::from_ref(measure))?;
+                book.estimate(&subject, &row.at).map(|e| e.figure * plain(&e.unit).0)
+            });
+            let hollow: Option<f64> = hollow.sum();
+            let (factor, unit) = plain(&row.figure.unit);
+            let processes = processes.map(|p| p * factor);
+            let off = hollow.zip(processes).filter(|(h, _)| *h > 0.0).map(|(h, p)| (p / h - 1.0) * 100.0);
+            let at = &row.at;
+            rows.push(vec![
+                format!("{} machines, {} schedulers", short(Some(at.machines as f64)), at.schedulers),
+                format!("{} {}", pair.hollow_role, pair.hollow.join(" + ")),
+                with_unit(hollow, unit),
+                format!("{} {}", pair.real_role, pair.real.join(" + ")),
+                with_unit(processes, unit),
+                off.map_or_else(|| "-".into(), |off| format!("{off:+.0}%")),
+                (*file).to_owned(),
+            ]);
         }
     }
     if rows.is_empty() {
-        rows.push(none(6));
+        rows.push(none(7));
     }
-    table(&["measure", "size", "hollow", "real", "difference", "files"], rows)
+    table(&["size", "hollow measure", "hollow", "real measure", "real", "difference", "file"], rows)
 }
 
 /// The files and the commands that write them.
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -211,6 +211,17 @@
     assert!(predictions.contains("| 2 | 130 us | 260 us | -50% |"), "{predictions}");
 }
 
+#[test]
+fn real_processes_are_held_against_hollow_ones() {
+    let mut rows = sweep("serve", Axis::Schedulers, "start_time", "us", &[(16, 100.0), (512, 100.0)]);
+    let mut real = row("processes", Axis::Together, At::BASE, "start_processor_time", "us", 250.0);
+    real.hollow = false;
+    rows.push(real);
+    let both = table_of(rows, "both-ways");
+    let wanted = "| serve start_time | 100 us | processes start_processor_time | 250 us | +150% |";
+    assert!(both.contains(wanted), "{both}");
+}
+
 #[test]
 fn a_unit_that_says_nothing_of_the_budget_is_an_error() {
     let rows = sweep("module", Axis::Machines, "bind_time", "bytes", &[(400, 1.0), (13_000, 1.0)]);
