--- a/crates/scale/src/page/need.rs
+++ b/crates/scale/src/page/need.rs
@@ -214,8 +214,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Prices {
-    /// A bind, time.
-    pub bind: String,
+    /// A start, time.
+    pub start: String,
     /// One machine that the list says to go or come, time.
     pub change_time: String,
     /// The same, bytes.
@@ -255,8 +255,8 @@
         for need in &needs.needs {
             ensure!(names.insert(need.name.as_str()), "the needs: {} is there twice", need.name);
         }
-        let Prices { bind, change_time, change_bytes, whole_time, whole_bytes } = &needs.prices;
-        let prices = [bind, change_time, change_bytes, whole_time, whole_bytes];
+        let Prices { start, change_time, change_bytes, whole_time, whole_bytes } = &needs.prices;
+        let prices = [start, change_time, change_bytes, whole_time, whole_bytes];
         for name in needs.lines.iter().flat_map(|l| &l.needs).chain(prices) {
             ensure!(names.contains(name.as_str()), "the needs: there is no need {name}");
         }
--- a/crates/scale/src/page/trouble.rs
+++ b/crates/scale/src/page/trouble.rs
@@ -52,14 +52,14 @@
 pub fn of_trouble(worked: &[Worked], needs: &Needs, target: &Target) -> String {
     let each = |name: &str| worked.iter().find(|w| w.need.name == name).and_then(Worked::each);
     let prices = &needs.prices;
-    let (bind, change_time, change_bytes) =
-        (each(&prices.bind), each(&prices.change_time), each(&prices.change_bytes));
+    let (start, change_time, change_bytes) =
+        (each(&prices.start), each(&prices.change_time), each(&prices.change_bytes));
     let (whole_time, whole_bytes) = (each(&prices.whole_time), each(&prices.whole_bytes));
     let rows = troubles(target).into_iter().map(|t| {
         let tasks = t.machines * target.standing / target.machines;
         let of_one = tasks / t.schedulers.max(1.0);
         let bytes = change_bytes.map(|b| b * t.changes);
-        let time = change_time.zip(bind).map(|(c, b)| c * t.changes + b * of_one);
+        let time = change_time.zip(start).map(|(change, start)| change * t.changes + start * of_one);
         let share = |figure: Option<f64>, budget: f64| figure.map(|f| f / budget);
         vec![
             t.name,
@@ -82,7 +82,7 @@
         "bytes of them",
         "time to pass them within its bytes a second",
         "bytes to all schedulers",
-        "a scheduler's processor time, changes and binds",
+        "a scheduler's processor time, changes and starts",
         "time to do so within its share of a core",
         "time to start the tasks anew at the peak's rate",
     ];
--- a/crates/scale/src/target.rs
+++ b/crates/scale/src/target.rs
@@ -227,17 +227,18 @@
         self.configuration_changes_a_day / DAY
     }
 
-    /// Connections between one process of a role and machines or schedulers at the peak. A scheduler that draws machines evenly
-    /// has one open to each machine to which a start went within the life of an idle connection.
+    /// Connections between one process of a role and machines or schedulers at the peak. A scheduler that draws evenly from
+    /// the machines in its view has one open to each to which a start went within the life of an idle connection.
     pub fn connections(&self, role: &str) -> f64 {
         let schedulers = self.taken(Assumed::Schedulers);
-        let starts = self.starts_a_second / schedulers / self.machines;
-        let open = 1.0 - (-starts * self.taken(Assumed::ConnectionLifeS)).exp();
+        let view = self.machines.min(peppercove_fleet::SIZE as f64);
+        let each = self.starts_a_second / schedulers * self.taken(Assumed::ConnectionLifeS) / view;
+        let open = view * (1.0 - (-each).exp());
         match role {
-            "machine" => schedulers * open,
+            "machine" => schedulers * open / self.machines,
             "discovery" => schedulers,
             "client" => 1.0,
-            _ => self.machines * open,
+            _ => open,
         }
     }
 }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -166,9 +166,9 @@
     let worked = worked_out(rows);
     let target = target();
     let cores = target.starts_a_second / target.taken(Assumed::Schedulers) * 1e-3;
-    let binds = find(&worked, "binds");
+    let binds = find(&worked, "binds, the module alone");
     assert!((binds.ratio.expect("measured") - cores / target.core_share).abs() < 1e-9, "{binds:?}");
-    let waiting = find(&worked, "one bind, waiting for it").ratio.expect("measured");
+    let waiting = find(&worked, "one bind, the module alone").ratio.expect("measured");
     assert!((waiting - 1e-3 / target.urgent_start_s).abs() < 1e-12);
 }
 
@@ -182,7 +182,9 @@
         ranked(&worked).iter().map(|w| (w.need.name.as_str(), w.ratio.expect("ranked"))).collect();
     assert_eq!(ranked[0].0, "descriptors of owners and hosts with tasks");
     assert!(ranked.windows(2).all(|pair| pair[0].1 >= pair[1].1), "{ranked:?}");
-    assert!(ranked.iter().any(|(name, ratio)| *name == "memory of the module" && (ratio - 0.5).abs() < 1e-9));
+    assert!(
+        ranked.iter().any(|(name, ratio)| *name == "memory, the module alone" && (ratio - 0.5).abs() < 1e-9)
+    );
     assert!(worked.iter().filter(|w| w.need.budget == Budget::None).all(|w| w.ratio.is_none()));
 }
 
@@ -273,9 +275,9 @@
         assert!(error.to_string().contains(wanted), "{to}: {error}");
     }
     let text = fs::read_to_string(root().join("bench/scale/needs.json")).expect("the needs");
-    let error =
-        Needs::parse(&text.replace("\"bind\": \"binds\"", "\"bind\": \"bounds\"")).expect_err("no such need");
-    assert!(error.to_string().contains("no need bounds"), "{error}");
+    let error = Needs::parse(&text.replace("\"start\": \"a whole start", "\"start\": \"a half start"))
+        .expect_err("no such need");
+    assert!(error.to_string().contains("no need a half start"), "{error}");
 }
 
 #[test]
