Whether a view is bounded follows from the list alone, so that cold ramps are split alike

Reason: a view turned bounded above its size and whole again a quarter below it. A scheduler that started between the two was whole while the others stayed bounded, for good: the slots of the bounded ones and the equal split of the whole ones summed to 37 offers to machines that bear 28. A scheduler whose first list made it bounded used its slots at once, though others might not know yet: 43.7 offers in a window, 40.6 being what chance may add. Change: bounded where the fleet is larger than the view, whatever was before; one that starts in a fleet of less than twice that size also leaves cold machines alone until all know. A fleet that wavers about the size costs a whole list and a pause at cold machines each time. Not held: a newcomer that no other knows of uses its slots twice; 0, 1 and 458 of 13,000 machines that bear 8, 28 and 100 may get more than chance then.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -319,17 +319,20 @@
         named.into_iter().filter(|line| !self.shows(line.machine)).map(Self::gone).collect()
     }
 
-    /// The view is bounded where the fleet is larger than it, and no more where it is smaller by a quarter.
+    /// The view is bounded where the fleet is larger than it. Danger: bounds that follow from more than the list, such as
+    /// what was before, differ for good between schedulers that have been there all along and those that start, and so do
+    /// the ramps of cold machines.
     fn bound(&mut self, first: bool) {
         let (ready, least) = (self.places.ready(), self.places.least(self.size));
-        let bounded = if self.bounded { ready > least / 4 * 3 } else { ready > least };
+        let bounded = ready > least;
         if bounded == self.bounded {
             return;
         }
         self.bounded = bounded;
         // Danger: the ramp of a cold machine is split in one way by those whose views are bounded and in another by the
-        // others, and together they would push it over. Until all have been told, nothing of it is used.
-        if !first {
+        // others, and together they would push it over. Until all have been told, nothing of it is used; also by one that
+        // has just started, unless the fleet is so large that it cannot have been smaller lately.
+        if !first || ready <= least.saturating_mul(2) {
             let window = self.settings.fall_window + self.settings.fall_window / 4;
             self.unsettled_until = self.now + self.settings.ask_every + window;
         }
