--- a/crates/cli/src/hunt.rs
+++ b/crates/cli/src/hunt.rs
@@ -6,8 +6,8 @@
 use comfy_table::presets::UTF8_BORDERS_ONLY;
 use indicatif::{ProgressBar, ProgressStyle};
 use peppercove_day::play as play_on_sockets;
-use peppercove_kernel::Report;
 use peppercove_kernel::hunt::{Plan, Sum, broken, hunt, shrink};
+use peppercove_kernel::{Report, play_bounded};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -33,6 +33,9 @@
     /// Play days without faults of timing in simulated time and on sockets, and compare the answers job by job.
     #[arg(long, conflicts_with_all = ["sockets", "processes"])]
     compare: bool,
+    /// Controllers have views of so many machines beside one of each zone and kind, as those of a large fleet have.
+    #[arg(long, value_name = "SIZE", conflicts_with_all = ["sockets", "processes", "compare", "out"])]
+    view: Option<u64>,
     /// Where the days that failed are written, made smaller.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
@@ -97,6 +100,10 @@
                                 break;
                             }
                         }
+                    } else if let Some(size) = arguments.view {
+                        let plan = Plan::random(seed);
+                        let report = play_bounded(&plan.script(), seed, size);
+                        (plan, report)
                     } else {
                         hunt(seed)
                     };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,5 +10,6 @@
 mod slots;
 mod view;
 
+pub use places::LEAST_EACH;
 pub use slots::{COLD_SLOTS, cold_share, owner};
 pub use view::{Decider, SIZE, View};
--- a/crates/fleet/src/places.rs
+++ b/crates/fleet/src/places.rs
@@ -6,7 +6,7 @@
 
 /// Machines of each kind in each zone that a view has in the mean, where there are so many: a keyed task whose group is its
 /// zone finds another one, and with a zone's loss no view loses a kind.
-pub(crate) const LEAST_EACH: u64 = 16;
+pub const LEAST_EACH: u64 = 16;
 
 /// Zone and kind.
 pub(crate) type Place = (u8, u8);
@@ -28,14 +28,20 @@
     if reached < NEARLY_ALL { slots as u32 } else { u32::MAX }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Places {
+    /// What a view has of each place.
+    each: u64,
     ready: BTreeMap<Place, u64>,
     /// Slots that count, by place; all where a place is missing.
     slots: BTreeMap<Place, u32>,
 }
 
 impl Places {
+    pub(crate) fn new(each: u64) -> Places {
+        Places { each, ready: BTreeMap::new(), slots: BTreeMap::new() }
+    }
+
     /// A machine's line is taken in place of another; none where there was none, or is none any more.
     pub(crate) fn change(&mut self, before: Option<&MachineLine>, after: Option<&MachineLine>) {
         let ready = |line: &&MachineLine| line.state == MachineState::Ready;
@@ -59,7 +65,7 @@
 
     /// Machines of a view of `size`, with what each place has at least.
     pub(crate) fn least(&self, size: u64) -> u64 {
-        size.saturating_add(LEAST_EACH * self.ready.len() as u64)
+        size.saturating_add(self.each * self.ready.len() as u64)
     }
 
     /// Works the slots out anew; tells whether any changed. Danger: the count of a place wavers with each machine that
@@ -70,7 +76,7 @@
         let mut changed = false;
         self.slots.retain(|place, _| self.ready.contains_key(place));
         for (place, count) in &self.ready {
-            let wanted = slots_for(everywhere.max(LEAST_EACH as f64 / *count as f64), schedulers);
+            let wanted = slots_for(everywhere.max(self.each as f64 / *count as f64), schedulers);
             let held = self.slots.get(place).copied();
             let off = |held: u32| held.abs_diff(wanted) > held / 8;
             if held.is_none_or(off) {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,7 +11,7 @@
 //! What is outside is not told to the module. What leaves is told as gone, so that nothing new is sent there; tasks that
 //! stand there go on to be counted at their place.
 
-use crate::places::{Places, place};
+use crate::places::{LEAST_EACH, Places, place};
 use crate::slots::{cold_share, owner};
 use peppercove::{
     Action, Event, Group, ListScope, MachineId, MachineLine, MachineState, Micros, Outcome, Repeat,
@@ -107,6 +107,11 @@
 
     /// With views of another size, for tests and measurements.
     pub fn with_size(module: D, settings: &Settings, size: u64) -> View<D> {
+        View::with_sizes(module, settings, size, LEAST_EACH)
+    }
+
+    /// With views of another size and another number of machines of each zone and kind, for small fleets.
+    pub fn with_sizes(module: D, settings: &Settings, size: u64, each: u64) -> View<D> {
         View {
             module,
             settings: settings.clone(),
@@ -116,7 +121,7 @@
             bounded: false,
             unsettled_until: 0,
             fleet: BTreeMap::new(),
-            places: Places::default(),
+            places: Places::new(each),
             shown: BTreeSet::new(),
             homes: BTreeMap::new(),
             home_of: BTreeMap::new(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use report::{Delays, Report};
 pub use script::Script;
-pub use world::{play, play_seen, play_with};
+pub use world::{play, play_bounded, play_seen, play_with};
 
 /// The days that the program carries with it, by name.
 pub fn shipped() -> &'static [(&'static str, &'static str)] {
--- a/crates/kernel/src/world.rs
+++ b/crates/kernel/src/world.rs
@@ -137,6 +137,14 @@
     play_with(script, seed, &module)
 }
 
+/// Plays a day whose controllers have views of so many machines beside one of each zone and kind, as a large fleet's have.
+pub fn play_bounded(script: &Script, seed: u64, size: u64) -> Report {
+    let module = |settings: &Settings, seed| -> Box<dyn Decide> {
+        Box::new(View::with_sizes(Scheduler::new(settings.clone(), seed), settings, size, 1))
+    };
+    play_with(script, seed, &module).0
+}
+
 /// Plays a day with other deciders than the program's own.
 pub fn play_with(script: &Script, seed: u64, decider: MakeDecider<'_>) -> (Report, Vec<Event>) {
     let mut world = World::new(script, seed, decider);
--- a/crates/kernel/tests/view.rs
+++ b/crates/kernel/tests/view.rs
@@ -4,7 +4,7 @@
 use peppercove_core::Decide;
 use peppercove_fleet::View;
 use peppercove_kernel::hunt::Plan;
-use peppercove_kernel::{Script, play_with, shipped};
+use peppercove_kernel::{Script, play_bounded, play_with, shipped};
 use std::cell::Cell;
 use std::path::Path;
 
@@ -50,3 +50,16 @@
         .sum();
     assert!(random > 3_000 && shipped > 2_000, "{random} and {shipped} events were compared");
 }
+
+/// The small fleets of random days, each controller with four machines of them in view and one of each zone and kind.
+#[test]
+fn with_bounded_views_random_days_keep_the_rules() {
+    let mut placed = 0;
+    for seed in 4_100_000..4_100_040 {
+        let plan = Plan::random(seed);
+        let report = play_bounded(&plan.script(), seed, 4);
+        assert!(report.is_clean(), "seed {seed}: {:#?}\n{}", report.verdict.breaches, plan.xml());
+        placed += report.verdict.taken;
+    }
+    assert!(placed > 1_000, "{placed} were taken");
+}
