--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Lists, asks, and a stand-in for the decision module that keeps only what it was told.
 #![allow(dead_code)]
 
+pub mod site;
+
 use peppercove::*;
 use peppercove_core::Decide;
 use peppercove_fleet::View;
