A list that names a machine twice, gone and back, keeps it in view

Reason: a machine that any line of a list named as gone was forgotten, also where a later line of the same list named it again; the module alone takes the last line. The machine was in nobody's view until the next list. Change: the last line of a list stands. tests/membership.rs works out from first principles who is in view, over random streams of lists (changes, whole, cached, failed, zones lost and back, old and doubled ones), and compares each machine's line.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -279,10 +279,12 @@
     fn take_in(&mut self, whole: bool, lines: &[MachineLine]) -> BTreeSet<MachineId> {
         let mut turned = BTreeSet::new();
         let ready = |line: &MachineLine| (line.state == MachineState::Ready).then_some(line.kind);
-        let named: BTreeSet<MachineId> = lines.iter().map(|line| line.machine).collect();
-        let unnamed = self.fleet.keys().copied().filter(|machine| whole && !named.contains(machine));
+        // Danger: a list that names a machine twice, gone and back, would lose it. The last line stands.
+        let named: BTreeMap<MachineId, MachineState> = lines.iter().map(|l| (l.machine, l.state)).collect();
+        let unnamed = self.fleet.keys().copied().filter(|machine| whole && !named.contains_key(machine));
         // Bounded state: what has left is forgotten; the module knows by itself what it holds there.
-        let gone = lines.iter().filter(|line| line.state == MachineState::Gone).map(|line| line.machine);
+        let gone =
+            named.iter().filter(|(_, state)| **state == MachineState::Gone).map(|(machine, _)| *machine);
         let left: Vec<MachineId> = unnamed.chain(gone).collect();
         for line in lines {
             let own = self.bounded && self.is_own(line);
--- /dev/null
+++ b/crates/fleet/tests/membership.rs
@@ -0,0 +1,132 @@
+//! What is in view, from first principles, and how much is held, over random streams of lists.
+
+mod common;
+
+use common::*;
+use peppercove::*;
+use peppercove_core::Decide;
+use peppercove_fleet::owner;
+use std::collections::BTreeMap;
+
+const SCHEDULERS: u32 = 40;
+const OWN: u32 = 7;
+const SIZE: u64 = 64;
+const MACHINES: u64 = 600;
+
+/// Who is in view by the list alone, worked out anew each time.
+#[derive(Default)]
+struct Model {
+    list: Told,
+    slots: BTreeMap<(u8, u8), u32>,
+    bounded: bool,
+}
+
+impl Model {
+    /// The fewest slots, eight at least, that put this share of a place into each view; all from nine tenths on.
+    fn wanted(share: f64) -> u32 {
+        let reached = |slots: u32| 1.0 - (1.0 - 1.0 / f64::from(SCHEDULERS)).powi(slots as i32);
+        let slots = (8..).find(|slots| reached(*slots) >= share.min(0.99)).unwrap();
+        if share >= 0.9 || reached(slots) >= 0.9 { u32::MAX } else { slots }
+    }
+
+    fn take_in(&mut self, event: &Event) {
+        self.list.decide(0, std::slice::from_ref(event));
+        let mut ready: BTreeMap<(u8, u8), u32> = BTreeMap::new();
+        for line in self.list.lines.values().filter(|line| line.state == MachineState::Ready) {
+            *ready.entry((line.zone, line.kind)).or_default() += 1;
+        }
+        let all: u32 = ready.values().sum();
+        self.bounded = u64::from(all) > SIZE + 16 * ready.len() as u64;
+        if !self.bounded {
+            return;
+        }
+        self.slots.retain(|place, _| ready.contains_key(place));
+        for (place, count) in ready {
+            let wanted = Model::wanted((SIZE as f64 / f64::from(all)).max(16.0 / f64::from(count)));
+            let held = self.slots.entry(place).or_insert(wanted);
+            // Slots stay until they are off by an eighth.
+            if held.abs_diff(wanted) > *held / 8 {
+                *held = wanted;
+            }
+        }
+    }
+
+    fn shows(&self, line: &MachineLine) -> bool {
+        let slots = self.slots.get(&(line.zone, line.kind)).copied().unwrap_or(u32::MAX);
+        !self.bounded || slots == u32::MAX || (0..slots).any(|s| owner(line.machine, s, SCHEDULERS) == OWN)
+    }
+}
+
+/// A machine's line with some life in it.
+fn some_line(rng: &mut fastrand::Rng, now: Micros) -> MachineLine {
+    let state = [MachineState::Ready, MachineState::Ready, MachineState::Draining, MachineState::Gone];
+    let line = line(rng.u64(0..MACHINES));
+    let kind = if rng.u8(0..20) == 0 { 2 } else { line.kind };
+    let started_at = if rng.bool() { now } else { 0 };
+    MachineLine { state: state[rng.usize(0..4)], kind, started_at, ..line }
+}
+
+/// A list event of any sort: changes, a zone lost or back, the whole, what was seen before a restart, a failure, and what
+/// came before once more.
+fn some_list(rng: &mut fastrand::Rng, now: Micros, version: &mut u64, told: &[Event]) -> Event {
+    *version += 1;
+    let zone = |z: u64, state| {
+        lines(0..MACHINES)
+            .into_iter()
+            .filter_map(move |line| (u64::from(line.zone) == z).then_some(MachineLine { state, ..line }))
+    };
+    match rng.u8(0..20) {
+        0 => list(ListScope::Delta, *version, zone(rng.u64(0..3), MachineState::Gone).collect()),
+        1 | 2 => list(ListScope::Delta, *version, zone(rng.u64(0..3), MachineState::Ready).collect()),
+        3 | 4 => {
+            let least = rng.u64(0..MACHINES);
+            list(ListScope::Full, *version, lines(rng.u64(0..=least)..MACHINES))
+        }
+        5 => list(ListScope::Cached, version.saturating_sub(rng.u64(0..5)), lines(0..rng.u64(0..MACHINES))),
+        6 => list(ListScope::Failed, 0, Vec::new()),
+        7..10 if !told.is_empty() => told[rng.usize(0..told.len())].clone(),
+        10 => list(ListScope::Full, *version, Vec::new()),
+        _ => {
+            let some = (0..rng.usize(0..30)).map(|_| some_line(rng, now));
+            list(ListScope::Delta, *version, some.collect())
+        }
+    }
+}
+
+#[test]
+fn the_module_works_with_the_machines_that_follow_from_the_list_and_no_others() {
+    let (mut bounded, mut outside) = (0, 0);
+    for seed in 0..6 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (mut view, mut model) = (told(SCHEDULERS, OWN, SIZE), Model::default());
+        let (mut events, mut version) = (Vec::new(), 0);
+        for step in 0..150 {
+            let now = SECOND + step * SECOND / 4;
+            let event = some_list(&mut rng, now, &mut version, &events);
+            view.decide(now, std::slice::from_ref(&event));
+            model.take_in(&event);
+            events.push(event);
+            assert_eq!(view.is_bounded(), model.bounded, "seed {seed}, step {step}: {:?}", events.last());
+            bounded += usize::from(model.bounded);
+            for line in model.list.lines.values() {
+                let (machine, ready) = (line.machine, line.state == MachineState::Ready);
+                let at = || format!("seed {seed}, step {step}: {line:?} after {:?}", events.last());
+                // Where no machine of its place takes tasks it does not matter who has it.
+                let shown = ready && model.shows(line);
+                assert_eq!(view.module().open(machine), shown, "{}", at());
+                assert!(!ready || view.shows(machine) == shown, "{}", at());
+                if let Some(told) = view.module().lines.get(&machine).filter(|_| shown) {
+                    let as_listed = MachineLine { cold_share: None, ..told.clone() };
+                    assert_eq!(as_listed, *line, "{}", at());
+                }
+                outside += usize::from(ready && !shown);
+            }
+            let known = |machine: &MachineId| model.list.lines.contains_key(machine);
+            assert!(view.module().lines.keys().all(known));
+        }
+    }
+    assert!(
+        bounded > 300 && outside > 50_000,
+        "{bounded} lists with bounded views, {outside} machines outside"
+    );
+}
