What a view holds is counted, and stays bounded over long lives

Reason: shown machines, homes, racks, open requests and unplaced tasks were bounded by argument alone. Change: `View::held` counts them by name; a test lives a minute with restarts and 5,000 services, then ends all.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -160,6 +160,19 @@
         &self.module
     }
 
+    /// How much is held beside the list, by name: for tests that it stays bounded.
+    pub fn held(&self) -> [(&'static str, usize); 7] {
+        [
+            ("shown", self.shown.len()),
+            ("services", self.homes.len()),
+            ("homes", self.home_of.len()),
+            ("racks", self.racks.len()),
+            ("more", self.more.len()),
+            ("open", self.open.len()),
+            ("unplaced", self.unplaced.len()),
+        ]
+    }
+
     // ---- What is in view ----
 
     fn is_in_view(&self, known: &Known) -> bool {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
+use common::site::{self, Site};
 use common::*;
 use peppercove::*;
 use peppercove_core::Decide;
-use peppercove_fleet::owner;
+use peppercove_fleet::{View, owner};
 use std::collections::BTreeMap;
 
 const SCHEDULERS: u32 = 40;
@@ -130,3 +131,40 @@
         "{bounded} lists with bounded views, {outside} machines outside"
     );
 }
+
+fn viewed(settings: &Settings, seed: u64) -> View<Scheduler> {
+    module(settings, SIZE, seed)
+}
+
+/// What one view holds follows its size and what is open, however long it lives.
+#[test]
+fn what_is_held_stays_bounded() {
+    let mut site = Site::new(&settings(SCHEDULERS, 0), MACHINES, 3, viewed);
+    site.members.truncate(2);
+    let mut most = BTreeMap::new();
+    for round in 0..60 {
+        for _ in 0..10 {
+            let (m, class) = (site.rng.usize(0..2), site.rng.u16(0..3));
+            let service = site.rng.u64(0..5_000) * 3 + u64::from(class);
+            site.place(m, class, service);
+        }
+        if round % 15 == 14 {
+            site.restart(round % 2);
+        }
+        site.live(1, 8, 8, MACHINES);
+        for (name, held) in site.members.iter().flat_map(|member| member.module.held()) {
+            let most = most.entry(name).or_insert(0);
+            *most = held.max(*most);
+        }
+    }
+    // No new tasks, and the last of them end: what was for them goes.
+    for _ in 0..20 * SECOND / site::STEP {
+        site.step();
+    }
+    let left: BTreeMap<&str, usize> = site.members.iter().flat_map(|member| member.module.held()).collect();
+    println!("{most:?}, then {left:?}");
+    let size = SIZE as usize;
+    assert!(most["services"] <= size && most["homes"] <= size && most["more"] <= size, "{most:?}");
+    assert!(most["shown"] <= 5 * size && most["racks"] <= 25 && most["open"] <= 120, "{most:?}");
+    assert_eq!((left["racks"], left["more"], left["open"], left["unplaced"]), (0, 0, 0, 0), "{left:?}");
+}
