--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -624,7 +624,8 @@
 
 impl<D: Decide> Decide for View<D> {
     fn decide(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
-        self.now = self.now.max(now);
+        // Times near the end of their type would overflow in sums.
+        self.now = self.now.max(now.min(Micros::MAX / 4));
         let news =
             |e: &Event| matches!(e, Event::MachineList { .. } | Event::Standing { .. } | Event::Ended { .. });
         if !self.bounded && self.unsettled_until == 0 && !events.iter().any(news) {
