--- a/crates/scale/src/roles/controller.rs
+++ b/crates/scale/src/roles/controller.rs
@@ -71,5 +71,6 @@
     measures.extend(rig.timings.measures());
     measures.extend(rig.timings.for_each("start_time", &path));
     measures.extend(rig.counted());
+    measures.extend(rig.held());
     Ok(measures)
 }
--- a/crates/scale/src/roles/controller/rig.rs
+++ b/crates/scale/src/roles/controller/rig.rs
@@ -346,7 +346,7 @@
         Ok(())
     }
 
-    /// What a second of rest takes, and the connections that are open.
+    /// What a second of rest takes.
     ///
     /// # Errors
     /// A message can't be read.
@@ -357,15 +357,23 @@
         let seconds = REST as f64 / SECOND as f64;
         let messages: u64 = self.traffic.values().map(|t| t.0).sum();
         let spent = self.timings.total_micros() / seconds;
-        let open = self.links + self.cluster.at.connections;
-        let mut measures = vec![
-            Measure::counted("rest_messages", "messages/s", messages as f64 / seconds),
-            Measure::counted("descriptors", "count", open as f64),
-        ];
+        let mut measures = vec![Measure::counted("rest_messages", "messages/s", messages as f64 / seconds)];
         measures.extend(Measure::of("rest_time", "us/s", Basis::Timed, vec![spent]));
         Ok(measures)
     }
 
+    /// What the core holds, and the connections that are open.
+    pub fn held(&self) -> Vec<Measure> {
+        let open = self.links + self.cluster.at.connections;
+        vec![
+            Measure::counted("held_nodes", "count", self.core.nodes().iter().count() as f64),
+            Measure::counted("held_jobs", "count", self.core.jobs().len() as f64),
+            Measure::counted("held_standing", "count", self.core.placed_tasks() as f64),
+            Measure::counted("held_open", "count", self.core.open_asks() as f64),
+            Measure::counted("descriptors", "count", open as f64),
+        ]
+    }
+
     /// Messages and bytes for each start, by way, and of a list change.
     pub fn counted(&self) -> Vec<Measure> {
         let of = |way: &str| self.traffic.get(way).copied().unwrap_or_default();
--- a/crates/scale/src/roles/module.rs
+++ b/crates/scale/src/roles/module.rs
@@ -60,6 +60,8 @@
     counts: BTreeMap<&'static str, (u64, u64)>,
     /// Requests that were not placed.
     turned_away: u64,
+    /// What the binds before had looked at.
+    compared: u64,
 }
 
 fn id(i: u64) -> MachineId {
@@ -84,6 +86,7 @@
             standing: VecDeque::with_capacity(at.standing as usize),
             counts: BTreeMap::new(),
             turned_away: 0,
+            compared: 0,
         })
     }
 
@@ -147,7 +150,8 @@
         RequestId(self.next)
     }
 
-    fn change(&mut self) {
+    /// The line of one machine changes.
+    pub fn change(&mut self) {
         let i = self.cluster.any();
         let lines = vec![self.cluster.line(i, id(i))];
         self.version += 1;
@@ -224,9 +228,11 @@
         self.fresh = false;
         self.counts.clear();
         self.turned_away = 0;
+        self.compared = self.scheduler.compared();
     }
 
-    /// Actions for each event of a kind, and the part of the requests that was not placed.
+    /// Actions for each event of a kind, the part of the requests that was not placed, and the machines that binds looked
+    /// at and held against each other, for each start.
     pub fn counted(&self) -> Vec<Measure> {
         let mean = |(kind, &(events, actions)): (&&str, &(u64, u64))| {
             let mean = actions as f64 / events as f64;
@@ -237,6 +243,9 @@
         let asked = self.counts.get("place").map_or(0, |c| c.0);
         let part = self.turned_away as f64 / asked.max(1) as f64;
         measures.push(Measure { samples: asked, ..Measure::counted("turned_away", "share", part) });
+        let compared = (self.scheduler.compared() - self.compared) as f64 / asked.max(1) as f64;
+        measures
+            .push(Measure { samples: asked, ..Measure::counted("compared_for_start", "count", compared) });
         measures
     }
 }
--- a/crates/scale/src/roles/serve.rs
+++ b/crates/scale/src/roles/serve.rs
@@ -74,5 +74,6 @@
     measures.extend(times);
     measures.extend(rig.timings.for_each("start_time", &path));
     measures.extend(rig.counted());
+    measures.extend(rig.held());
     Ok(measures)
 }
--- a/crates/scale/src/roles/serve/rig.rs
+++ b/crates/scale/src/roles/serve/rig.rs
@@ -349,9 +349,15 @@
         Ok(())
     }
 
-    /// Connections that are open.
-    pub fn open(&self) -> u64 {
-        self.cluster.at.connections + self.links.len() as u64
+    /// What the desk holds, and the connections that are open.
+    pub fn held(&self) -> Vec<Measure> {
+        let open = self.cluster.at.connections + self.links.len() as u64;
+        vec![
+            Measure::counted("held_hosts", "count", self.desk.hosts() as f64),
+            Measure::counted("held_standing", "count", self.desk.standing() as f64),
+            Measure::counted("held_open", "count", self.desk.open() as f64),
+            Measure::counted("descriptors", "count", open as f64),
+        ]
     }
 
     fn traffic(&self, kind: &str) -> Traffic {
@@ -375,7 +381,6 @@
             Measure::counted("rest_bytes", "bytes/s", bytes / seconds),
             Measure::counted("rest_messages_link", "messages/s", messages / seconds / links),
             Measure::counted("rest_bytes_link", "bytes/s", bytes / seconds / links),
-            Measure::counted("descriptors", "count", self.open() as f64),
         ];
         let spent = self.timings.total_micros() / seconds;
         measures.extend(Measure::of("rest_time", "us/s", Basis::Timed, vec![spent]));
