bench capacity: the target's lines name the runs' files, and a test writes and checks a page

Each line of the target has to say which run shows it; the table named the need alone. Figures under a millionth are said so instead of a row of zeros, and what no chart can show (an endless ratio) is left out of it.

--- a/crates/scale/src/chart.rs
+++ b/crates/scale/src/chart.rs
@@ -28,7 +28,7 @@
         let mut points = Vec::new();
         for factor in factors() {
             let size = target.scaled(factor);
-            let ratio = Worked::out(need, book, &size)?.ratio.filter(|r| *r > 0.0);
+            let ratio = Worked::out(need, book, &size)?.ratio.filter(|r| *r > 0.0 && r.is_finite());
             points.extend(ratio.map(|r| (size.machines, r)));
         }
         if !points.is_empty() {
--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -223,7 +223,10 @@
         let shown = line.needs.iter().filter_map(|name| worked.iter().find(|w| w.need.name == *name));
         let shown: Vec<String> = shown
             .map(|w| match w.ratio {
-                Some(ratio) => format!("{}: {} of its budget", w.need.name, short(Some(ratio))),
+                Some(ratio) => {
+                    let files = w.estimate.as_ref().map(|e| e.files.join(", ")).unwrap_or_default();
+                    format!("{}: {} of its budget ({files})", w.need.name, short(Some(ratio)))
+                }
                 None => format!("{}: {}", w.need.name, need(w, target)),
             })
             .collect();
--- a/crates/scale/src/page/words.rs
+++ b/crates/scale/src/page/words.rs
@@ -8,6 +8,9 @@
     if figure == 0.0 {
         return "0".into();
     }
+    if figure.abs() < 1e-6 {
+        return "under 0.000001".into();
+    }
     let power = figure.abs().log10().floor() as i32;
     let exact = figure.fract() == 0.0 && power < 5;
     let step = if exact { 1.0 } else { 10f64.powi(power - 2) };
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -63,6 +63,34 @@
     assert!(differing.contains(&PAGE.to_owned()), "{differing:?}");
 }
 
+#[test]
+fn page_and_charts_are_written_and_checked() {
+    let copy = Path::new(env!("CARGO_TARGET_TMPDIR")).join("capacity");
+    for dir in ["bench/scale", "docs/capacity"] {
+        fs::create_dir_all(copy.join(dir)).expect("a directory");
+    }
+    for file in ["bench/scale/target.json", "bench/scale/needs.json", PAGE] {
+        fs::copy(root().join(file), copy.join(file)).expect("a copy");
+    }
+    let rows = sweep("module", Axis::Machines, "bind_time", "us", &[(400, 77.7), (13_000, 777.0)]);
+    let rows: Vec<String> = rows.iter().map(|r| serde_json::to_string(r).expect("a row")).collect();
+    fs::write(copy.join("bench/scale/made-up.jsonl"), rows.join("\n")).expect("rows");
+    fs::write(copy.join("docs/capacity/stale.svg"), "<svg/>").expect("a chart of nothing");
+    let checked = || page::run(&copy, &[], true).map_err(|e| e.to_string());
+    assert!(
+        checked().is_err_and(|e| e.contains(PAGE) && e.contains("module.svg") && e.contains("stale.svg"))
+    );
+    page::run(&copy, &[], false).expect("written");
+    assert_eq!(checked(), Ok(()));
+    assert!(!copy.join("docs/capacity/stale.svg").exists());
+    let svg = fs::read_to_string(copy.join("docs/capacity/module.svg")).expect("the chart");
+    assert!(svg.contains("binds, the module alone") && svg.contains("budget"), "{svg}");
+    let page = fs::read_to_string(copy.join(PAGE)).expect("the page");
+    assert!(page.contains("(capacity/module.svg)") && page.contains("| 777 us |"));
+    fs::write(copy.join(PAGE), page.replace("| 777 us |", "| 7 us |")).expect("a page that lies");
+    assert!(checked().is_err_and(|e| e.contains(PAGE)));
+}
+
 #[test]
 fn a_power_law_is_found_and_continued() {
     let law = |x: f64| (x, 3.0 * x.powf(1.5));
@@ -306,6 +334,10 @@
     let written =
         [0.0, 0.001_234, 0.999_9, 1.0, 12.345, 999.6, 1_024.0, 1_024.5, 1_234_567.0].map(|f| short(Some(f)));
     assert_eq!(written, ["0", "0.00123", "1", "1", "12.3", "1,000", "1,024", "1,020", "1,230,000"]);
+    assert_eq!(
+        [1e-6, 9.9e-7, 1e-310].map(|f| short(Some(f))),
+        ["0.000001", "under 0.000001", "under 0.000001"]
+    );
     assert_eq!([None, Some(f64::NAN), Some(f64::INFINITY)].map(short), ["not measured"; 3]);
     assert_eq!(with_unit(Some(1_500.0), "us"), "1.5 ms");
     assert_eq!(with_unit(Some(64e6), "bytes"), "64 MB");
