A task that waits while the view turns bounded finds the room outside

Reason: open requests were followed in bounded views alone. One that waited, or was offered, when the fleet outgrew the view was not known to it: nothing was looked for beyond the view, and its rack was not brought in. Change: open requests are followed in whole views too, one small entry for each that has no answer. Measured: `a_task_that_waits_while_the_view_turns_finds_the_room_outside` fails without it (no bind in 5 s).

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -361,7 +361,6 @@
         self.racks.clear();
         self.homes.clear();
         self.home_of.clear();
-        self.open.clear();
     }
 
     /// Others know by now how a cold machine's ramp is split.
@@ -550,7 +549,6 @@
                 return self.on_list(*scope, *version, lines, events);
             }
             Event::Place(ask) if self.bounded => {
-                self.open.entry(ask.request).or_insert(Open { class: ask.class, waits: false, rack: None });
                 let lines = self.use_homes(ask.service, ask.class);
                 self.tell(lines, events);
             }
@@ -584,7 +582,8 @@
         }
     }
 
-    /// Which requests wait for a machine, from what happened and what the module made of it.
+    /// Which requests wait for a machine, from what happened and what the module made of it. Danger: a view may turn
+    /// bounded while they wait, so they are followed in a whole one too.
     fn follow(&mut self, events: &[Event], actions: &[Action]) {
         for event in events {
             match event {
@@ -593,7 +592,10 @@
                 | Event::Unwanted(request) => {
                     self.open.remove(request);
                 }
-                Event::Place(ask) => self.waits(ask.request, true),
+                Event::Place(ask) => {
+                    let open = Open { class: ask.class, waits: true, rack: None };
+                    self.open.entry(ask.request).or_insert(open);
+                }
                 Event::Ended { request, .. } => self.waits(*request, true),
                 _ => {}
             }
@@ -629,7 +631,9 @@
         let news =
             |e: &Event| matches!(e, Event::MachineList { .. } | Event::Standing { .. } | Event::Ended { .. });
         if !self.bounded && self.unsettled_until == 0 && !events.iter().any(news) {
-            return self.module.decide(now, events);
+            let actions = self.module.decide(now, events);
+            self.follow(events, &actions);
+            return actions;
         }
         let mut passed = Vec::with_capacity(events.len() + 2);
         self.settle(&mut passed);
@@ -645,9 +649,7 @@
             self.tell(lines, &mut passed);
         }
         let actions = self.module.decide(now, &passed);
-        if self.bounded {
-            self.follow(events, &actions);
-        }
+        self.follow(events, &actions);
         actions
     }
 }
--- a/crates/fleet/tests/lists.rs
+++ b/crates/fleet/tests/lists.rs
@@ -42,6 +42,33 @@
     }
 }
 
+/// A task waited while the view was whole; the fleet grows, and all the room is outside the view.
+#[test]
+fn a_task_that_waits_while_the_view_turns_finds_the_room_outside() {
+    let mut driver = Driver::new(&settings(100, 3), 64, 5);
+    let full = |m: u64| MachineLine { free_cores: Some(0.0), free_memory: Some(0.0), ..line(m) };
+    driver.list(ListScope::Full, (0..100).map(full).collect());
+    assert!(!driver.view.is_bounded());
+    assert_eq!(driver.place(ask(1, 0, 1), driver.now), None);
+    let own = {
+        let mut probe = told(100, 3, 64);
+        probe.decide(SECOND, &[list(ListScope::Full, 1, lines(0..2_000))]);
+        (0..2_000).map(|m| probe.shows(MachineId(m))).collect::<Vec<bool>>()
+    };
+    let free = (1_000..2_000).find(|m| !own[*m as usize]).unwrap();
+    let grown = (0..2_000).map(|m| {
+        if m == free {
+            MachineLine { free_cores: Some(16.0), free_memory: Some(32.0), ..line(m) }
+        } else {
+            full(m)
+        }
+    });
+    driver.list(ListScope::Full, grown.collect());
+    assert!(driver.view.is_bounded() && !driver.view.shows(MachineId(free)));
+    let actions = driver.wait(driver.now + 5 * SECOND);
+    assert_eq!(binds(&actions), [(1, MachineId(free))]);
+}
+
 #[test]
 fn the_end_of_time_is_no_overflow() {
     let mut view = module(&settings(100, 3), 64, 1);
