bench scale: roles discovery and configuration, by machines, classes, tenants, changes

Reason: what list and configuration cost as they grow was stated nowhere.

Role `configuration` reads a configuration and brings it into force up to the desk's first list. There is no figure for its spread between processes: the format has none.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod chart;
 pub mod load;
 pub mod page;
+pub mod platform;
 pub mod roles;
 pub mod row;
 pub mod run;
--- a/crates/scale/src/roles.rs
+++ b/crates/scale/src/roles.rs
@@ -1,6 +1,8 @@
 //! One module a role of the program.
 
+pub mod configuration;
 pub mod controller;
+pub mod discovery;
 pub mod module;
 pub mod serve;
 
@@ -20,7 +22,13 @@
 }
 
 /// All of them, in the order in which they are played.
-pub const ROLES: &[Role] = &[module::ROLE, serve::ROLE, controller::ROLE];
+pub const ROLES: &[Role] = &[
+    module::ROLE,
+    serve::ROLE,
+    controller::ROLE,
+    discovery::ROLE,
+    configuration::ROLE,
+];
 
 /// Points that rise geometrically from `least` to `most`, both among them.
 pub fn rising(least: u64, most: u64, points: u32) -> Vec<u64> {
