--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 
 pub mod chart;
+pub mod hollow;
 pub mod load;
 pub mod page;
 pub mod platform;
@@ -18,3 +19,4 @@
 pub mod run;
 pub mod slope;
 pub mod target;
+pub mod standins;
--- a/crates/scale/src/roles.rs
+++ b/crates/scale/src/roles.rs
@@ -1,8 +1,10 @@
 //! One module a role of the program.
 
+pub mod client;
 pub mod configuration;
 pub mod controller;
 pub mod discovery;
+pub mod machine;
 pub mod module;
 pub mod serve;
 
@@ -28,6 +30,8 @@
     controller::ROLE,
     discovery::ROLE,
     configuration::ROLE,
+    machine::ROLE,
+    client::ROLE,
 ];
 
 /// Points that rise geometrically from `least` to `most`, both among them.
