--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -10,10 +10,12 @@
 #![forbid(unsafe_code)]
 
 pub mod chart;
+pub mod fleet;
 pub mod hollow;
 pub mod load;
 pub mod page;
 pub mod platform;
+pub mod process;
 pub mod roles;
 pub mod row;
 pub mod run;
--- a/crates/scale/src/roles.rs
+++ b/crates/scale/src/roles.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod machine;
 pub mod module;
+pub mod processes;
 pub mod serve;
 
 use crate::row::{At, Axis, Measure};
@@ -32,6 +33,7 @@
     configuration::ROLE,
     machine::ROLE,
     client::ROLE,
+    processes::ROLE,
 ];
 
 /// Points that rise geometrically from `least` to `most`, both among them.
