--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -20,5 +20,5 @@
 pub mod row;
 pub mod run;
 pub mod slope;
-pub mod target;
 pub mod standins;
+pub mod target;
