A test that the room which a list named is told once

Reason: nothing tested that a line told again, as the view turns, settles or moves, comes without its room. Change: a test in tests/lists.rs over each of these moments.

--- a/crates/fleet/tests/lists.rs
+++ b/crates/fleet/tests/lists.rs
@@ -5,6 +5,7 @@
 use common::*;
 use peppercove::*;
 use peppercove_core::Decide;
+use peppercove_fleet::View;
 
 /// Danger: a view that changes is no list, and the call for a list that failed is to be made again all the same.
 #[test]
@@ -79,3 +80,41 @@
     view.decide(Micros::MAX, &[ended(1, 0, bound[0].1, Outcome::Lost)]);
     assert!(view.is_bounded());
 }
+
+/// Danger: a machine has said more of its room since the list named it; told again, the list's word would erase that.
+#[test]
+fn the_room_that_a_list_named_is_told_once() {
+    let with_room = |m: u64| MachineLine { free_cores: Some(16.0), free_memory: Some(32.0), ..line(m) };
+    let room_told = |view: &View<Told>| -> Vec<u64> {
+        let lists = view.module().events.iter().filter_map(|event| match event {
+            Event::MachineList { lines, .. } => Some(lines),
+            _ => None,
+        });
+        lists.flatten().filter(|line| line.free_cores.is_some()).map(|line| line.machine.0).collect()
+    };
+    let mut view = told(100, 3, 64);
+    view.decide(SECOND, &[list(ListScope::Full, 1, (0..150).map(with_room).collect())]);
+    assert_eq!(room_told(&view).len(), 150);
+    // The view turns with a change that names others; later all know, and cold shares are told anew.
+    view.decide(2 * SECOND, &[list(ListScope::Delta, 2, (150..400).map(with_room).collect())]);
+    assert!(view.is_bounded());
+    let room = room_told(&view);
+    assert!(!room.is_empty() && room.iter().all(|m| *m >= 150), "{room:?}");
+    view.decide(30 * SECOND, &[Event::Timer(0)]);
+    assert!(!view.module().events.is_empty() && room_told(&view).is_empty());
+    // Slots change with the fleet, and all that is in view is told.
+    view.decide(31 * SECOND, &[list(ListScope::Delta, 3, (400..900).map(with_room).collect())]);
+    let room = room_told(&view);
+    assert!(!room.is_empty() && room.iter().all(|m| *m >= 400), "{room:?}");
+    // What comes into view after it was named brings its room, the first time.
+    let place = |view: &mut View<Told>, at: Micros, request: u64| {
+        let come_and_gone = [Event::Place(ask(request, 0, request)), Event::Unwanted(RequestId(request))];
+        view.decide(at, &come_and_gone);
+        room_told(view)
+    };
+    let first = place(&mut view, 32 * SECOND, 0);
+    assert!(!first.is_empty(), "homes that were outside");
+    (1..50).for_each(|other| drop(place(&mut view, 33 * SECOND, other)));
+    assert!(first.iter().any(|m| !view.shows(MachineId(*m))), "they have left the view");
+    assert!(place(&mut view, 34 * SECOND, 0).iter().all(|m| !first.contains(m)));
+}
