A test of how large a view of 13,000 machines is

Reason: the size at the target was stated and not measured. Change: a test in tests/slots.rs with 44 zones and two kinds.

--- a/crates/fleet/tests/slots.rs
+++ b/crates/fleet/tests/slots.rs
@@ -96,3 +96,25 @@
         assert!(lost <= 8, "{lost} machines in nobody's view");
     }
 }
+
+/// At the size that is headed for, 44 zones with two kinds each, a view has about its 1,024 machines, and 16 of each place
+/// where that asks for more.
+#[test]
+fn a_view_of_13_000_machines_has_about_its_size() {
+    let zoned = |line: MachineLine| MachineLine { zone: (line.machine.0 % 44) as u8, ..line };
+    let kinded =
+        |line: MachineLine| MachineLine { kind: u8::from((line.machine.0 / 44).is_multiple_of(8)), ..line };
+    let all: Vec<MachineLine> = lines(0..13_000).into_iter().map(zoned).map(kinded).collect();
+    let mut sizes = Vec::new();
+    for (schedulers, own) in [(100, 7), (500, 0), (500, 499)] {
+        let mut view = told(schedulers, own, peppercove_fleet::SIZE);
+        view.decide(SECOND, &[list(ListScope::Full, 1, all.clone())]);
+        let shown = |line: &&MachineLine| view.shows(line.machine);
+        let least = (0..44)
+            .flat_map(|zone| [(zone, 0), (zone, 1)])
+            .map(|place| all.iter().filter(|l| (l.zone, l.kind) == place).filter(shown).count());
+        sizes.push((schedulers, view.len(), least.min().unwrap()));
+    }
+    println!("schedulers, machines in view, machines of the scarcest place: {sizes:?}");
+    assert!(sizes.iter().all(|(_, size, least)| (1_024..=2_432).contains(size) && *least >= 6), "{sizes:?}");
+}
