Processes with bounded views, and faults between them: a test on sockets

Six serve processes of 64 schedulers share 2,200 hollow hosts, more than a view has. A third of the processes is killed at once and started again; the list tells each process in its own time, one of them twice, and breaks off; hosts drain, die, fall silent and come cold. Judged by what crossed the sockets: one answer for each set-up, nothing sent long after a drain was told, no second host for unsafe tasks, no other cell for keyed ones, a cold host contacted by the owners of its ramp alone and within what it bears, and processes that reach different parts of the fleet.

--- a/crates/cli/tests/fleet/journal.rs
+++ b/crates/cli/tests/fleet/journal.rs
@@ -1,4 +1,5 @@
 //! The journal service, with a view for each controller: hosts have the addresses of its relays there.
+#![allow(dead_code, reason = "each test takes what it needs")]
 
 use crate::common::{event, server};
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,8 @@
     events: Rc<RefCell<Vec<String>>>,
     news: Rc<Notify>,
     down: Rc<Cell<bool>>,
+    /// Each event is told twice.
+    doubled: Rc<Cell<bool>>,
 }
 
 impl Journal {
@@ -27,6 +30,7 @@
             events: Rc::new(RefCell::new(vec![event(1, true, &servers)])),
             news: Rc::default(),
             down: Rc::default(),
+            doubled: Rc::default(),
         };
         let one = journal.clone();
         spawn_local(async move {
@@ -41,15 +45,26 @@
 
     /// A host came, or its state changed; told after a while.
     pub fn tell(&self, late: Duration, id: &str, address: SocketAddr, state: &str) {
-        let (journal, line) = (self.clone(), server(id, address, state));
+        self.tell_lines(late, vec![server(id, address, state)], || {});
+    }
+
+    /// The same with lines of any content, and what is to be done once the service has them.
+    pub fn tell_lines(&self, late: Duration, lines: Vec<String>, then: impl FnOnce() + 'static) {
+        let journal = self.clone();
         spawn_local(async move {
             tokio::time::sleep(late).await;
             let pos = journal.events.borrow().len() as u64 + 1;
-            journal.events.borrow_mut().push(event(pos, false, std::slice::from_ref(&line)));
+            journal.events.borrow_mut().push(event(pos, false, &lines));
             journal.news.notify_waiters();
+            then();
         });
     }
 
+    /// From now on each event is told twice.
+    pub fn doubles(&self) {
+        self.doubled.set(true);
+    }
+
     /// It breaks off and answers nobody for a while.
     pub fn breaks(&self, lasts: Duration) {
         self.down.set(true);
@@ -80,6 +95,9 @@
             let news = self.news.notified();
             let lines: Vec<String> = self.events.borrow().iter().skip(told).cloned().collect();
             told += lines.len();
+            let times = if self.doubled.get() { 2 } else { 1 };
+            let lines: Vec<String> =
+                lines.iter().flat_map(|line| std::iter::repeat_n(line.clone(), times)).collect();
             let text = if lines.is_empty() { format!("{told}\n") } else { lines.join("\n") + "\n" };
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
