--- a/crates/scale/src/roles/serve/rig.rs
+++ b/crates/scale/src/roles/serve/rig.rs
@@ -356,6 +356,7 @@
             Measure::counted("held_hosts", "count", self.desk.hosts() as f64),
             Measure::counted("held_standing", "count", self.desk.standing() as f64),
             Measure::counted("held_open", "count", self.desk.open() as f64),
+            Measure::counted("held_links", "count", self.links.len() as f64),
             Measure::counted("descriptors", "count", open as f64),
         ]
     }
@@ -384,6 +385,7 @@
         ];
         let spent = self.timings.total_micros() / seconds;
         measures.extend(Measure::of("rest_time", "us/s", Basis::Timed, vec![spent]));
+        measures.extend(Measure::of("rest_time_link", "us/s", Basis::Timed, vec![spent / links]));
         Ok(measures)
     }
 
