The page's writing test begins in an empty directory

Run a second time it found the chart that its first run had written, so that the check named one file less than wanted: the test failed where the target directory was kept. What it wants is unchanged; it takes away what an earlier run left.

--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -66,6 +66,9 @@
 #[test]
 fn page_and_charts_are_written_and_checked() {
     let copy = Path::new(env!("CARGO_TARGET_TMPDIR")).join("capacity");
+    if copy.exists() {
+        fs::remove_dir_all(&copy).expect("what an earlier run left");
+    }
     for dir in ["bench/scale", "docs/capacity"] {
         fs::create_dir_all(copy.join(dir)).expect("a directory");
     }
