--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -103,12 +103,13 @@
     table(&head, rows.collect())
 }
 
-/// What all processes of a role need together by the largest row of each budget, beside the machines set aside.
+/// What all schedulers need together by the largest row of each role and budget, beside the machines set aside. The budgets
+/// are a scheduler's, whichever role a row was measured on.
 pub fn together(worked: &[Worked], target: &Target) -> String {
     let mut largest: BTreeMap<(&str, Summed), f64> = BTreeMap::new();
     for w in worked {
         let (Some(figure), Some(kind)) = (w.figure, Summed::of(w.need.budget)) else { continue };
-        let all = figure * target.processes(&w.need.role);
+        let all = figure * target.taken(Assumed::Schedulers);
         let most = largest.entry((w.need.role.as_str(), kind)).or_default();
         *most = most.max(all);
     }
@@ -127,7 +128,10 @@
         vec![role.to_owned(), what.to_owned(), with_unit(Some(all), unit), share]
     });
     let rows: Vec<Vec<String>> = rows.collect();
-    table(&["role", "what", "all of them", "share"], if rows.is_empty() { vec![none(4)] } else { rows })
+    table(
+        &["measured on", "what", "all schedulers", "share"],
+        if rows.is_empty() { vec![none(4)] } else { rows },
+    )
 }
 
 /// The budgets that add up over processes.
@@ -495,8 +499,8 @@
                 book.estimate(&subject, &row.at).map(|e| e.figure * plain(&e.unit).0)
             });
             let hollow: Option<f64> = hollow.sum();
-            let (factor, unit) = plain(&row.figure.unit);
-            let processes = processes.map(|p| p * factor);
+            let unit = &row.figure.unit;
+            let hollow = hollow.map(|h| h / plain(unit).0);
             let off = hollow.zip(processes).filter(|(h, _)| *h > 0.0).map(|(h, p)| (p / h - 1.0) * 100.0);
             let at = &row.at;
             rows.push(vec![
