--- a/crates/scale/src/page/need.rs
+++ b/crates/scale/src/page/need.rs
@@ -26,6 +26,8 @@
     ConfigurationChanges,
     /// For each start of one scheduler within the life of an idle connection, at the peak.
     StartsInALife,
+    /// For each standing task of one scheduler: as many connections as have to be kept up for them, at most.
+    Standing,
     /// For each open connection between a scheduler and a machine.
     Connections,
     /// For each scheduler.
@@ -46,6 +48,7 @@
                 let each = target.starts_a_second / target.taken(Assumed::Schedulers);
                 each * target.taken(Assumed::ConnectionLifeS)
             }
+            Times::Standing => target.standing / target.taken(Assumed::Schedulers),
             Times::Connections => target.connections(role),
             Times::Schedulers => target.taken(Assumed::Schedulers),
         }
@@ -61,6 +64,7 @@
             Times::WholeLists => "whole lists a second",
             Times::ConfigurationChanges => "changes a second",
             Times::StartsInALife => "starts in the life of a connection",
+            Times::Standing => "connections with a standing task",
             Times::Connections => "connections",
             Times::Schedulers => "schedulers",
         }
--- a/crates/scale/src/page/tables.rs
+++ b/crates/scale/src/page/tables.rs
@@ -402,7 +402,8 @@
 /// ones by name.
 pub fn of_slopes(book: &Book, needs: &Needs) -> String {
     let (mut rows, mut flat, mut single) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
-    for (subject, along, curve) in book.curves() {
+    // Several axes up together rise by different factors: no exponent says anything of them.
+    for (subject, along, curve) in book.curves().filter(|(_, along, _)| *along != Axis::Together) {
         let (Some(first), Some(last)) = (curve.rows.first(), curve.rows.last()) else { continue };
         let (role, measure, unit) = (&subject.role, &subject.measure, &first.figure.unit);
         if curve.rows.len() == 1 {
@@ -504,7 +505,7 @@
             let off = hollow.zip(processes).filter(|(h, _)| *h > 0.0).map(|(h, p)| (p / h - 1.0) * 100.0);
             let at = &row.at;
             rows.push(vec![
-                format!("{} machines, {} schedulers", short(Some(at.machines as f64)), at.schedulers),
+                format!("{} machines, schedulers: {}", short(Some(at.machines as f64)), at.schedulers),
                 format!("{} {}", pair.hollow_role, pair.hollow.join(" + ")),
                 with_unit(hollow, unit),
                 format!("{} {}", pair.real_role, pair.real.join(" + ")),
