A test that a rack is told before the end of the attempt that needs it

Reason: with the rack told after the end no test failed: the module looks again at what it holds in the same turn. Change: a test in tests/beyond.rs over the order of what the module is told. Measured: passes; with the order turned round it has no rack before the end and fails.

--- a/crates/fleet/tests/beyond.rs
+++ b/crates/fleet/tests/beyond.rs
@@ -4,6 +4,8 @@
 
 use common::*;
 use peppercove::*;
+use peppercove_core::Decide;
+use peppercove_fleet::View;
 
 const SIZE: u64 = 64;
 
@@ -183,3 +185,19 @@
     driver.list(ListScope::Full, lines(0..2_000));
     spreads_but_not_to(&mut driver, 9, &twice, 100);
 }
+
+/// Danger: a rack that comes after the end of the attempt leaves the task to the machines of it that were in view by chance.
+#[test]
+fn the_rack_is_told_before_the_attempt_that_ended() {
+    let bind = Action::Bind { request: RequestId(1), machine: MachineId(0), timeout: None };
+    let stand_in = Told { answer: vec![bind], ..Told::default() };
+    let mut view = View::with_size(stand_in, &settings(100, 3), SIZE);
+    view.decide(SECOND, &[list(ListScope::Full, 1, lines(0..2_000)), Event::Place(ask(1, 1, 1))]);
+    let end = ended(1, 0, MachineId(0), Outcome::Lost);
+    view.decide(2 * SECOND, std::slice::from_ref(&end));
+    let [Event::MachineList { scope: ListScope::View, lines, .. }, last] = &view.module().events[..] else {
+        panic!("{:?}", view.module().events)
+    };
+    let in_rack = lines.iter().filter(|line| rack_of(line.machine) == rack_of(MachineId(0))).count();
+    assert!(*last == end && in_rack >= 6, "{in_rack} of the rack's eight machines");
+}
