bench scale: processes at rest are measured for two whole rounds of tests

Reason: connections with a task are tested each second. In 1.5 s each counted once or twice, as the window fell: 1,201, 2,141 and 1,709 bytes a second at rest for 1, 4 and 16 schedulers at the same sizes.

Change: the time at rest is 2 s.

--- a/crates/scale/src/roles/processes.rs
+++ b/crates/scale/src/roles/processes.rs
@@ -24,6 +24,8 @@
 const DESCRIPTORS: u64 = 19_000;
 /// Longer than a connection with a task is silent before it is tested.
 const SETTLED: Duration = Duration::from_millis(1200);
+/// Time at rest that is measured: connections with a task are tested each second, and each counts as often as the others.
+const RESTS: Duration = Duration::from_secs(2);
 /// Tasks a second that are brought to stand, over all schedulers.
 const BROUGHT: u64 = 500;
 
@@ -92,7 +94,7 @@
     ask(at, &all, at.standing, pace, LASTING).await;
     sleep(SETTLED).await;
 
-    let idle = Duration::from_millis(1500);
+    let idle = RESTS;
     let (before, crossed) = (processor_times(&processes)?, bytes.now());
     sleep(idle).await;
     let idle_times = less(processor_times(&processes)?, before, |_| idle.as_secs_f64());
