--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -242,8 +242,8 @@
     /// As many starts as fit into a fraction of a second (of some seconds, where it is not quick) by what a start costs
     /// on this many machines, and no fewer than make a median.
     pub fn of(at: &At, quick: bool) -> Play {
-        let (fit, bound) = if quick { (300_000, 500) } else { (1_500_000, 2_500) };
-        let starts = (fit / at.machines.max(1)).clamp(60, if quick { 400 } else { 2_000 });
+        let (fit, bound) = if quick { (300_000, 700) } else { (900_000, 1_500) };
+        let starts = (fit / at.machines.max(1)).clamp(60, if quick { 400 } else { 1_000 });
         // Homes grow by a tenth with each start in time, for each class by itself; and as many come as end once the
         // longest start is over.
         let warm = (at.classes * 100).max(at.starts * 2).min(2_000);
--- a/crates/scale/src/roles/module.rs
+++ b/crates/scale/src/roles/module.rs
@@ -224,7 +224,7 @@
         self.agenda.set(self.now + 1, Happens::Start);
         self.agenda.set(self.now + self.cluster.next_change().unwrap_or(Micros::MAX / 2), Happens::Change);
         self.fresh = true;
-        self.play(play.warm, Some(Instant::now() + play.bound * 8));
+        self.play(play.warm, Some(Instant::now() + play.bound * 4));
         self.fresh = false;
         self.counts.clear();
         self.turned_away = 0;
