Tasks handed over together outside a view are told by one list, not by one each

Places of tasks outside are collected and told before the next event of another kind, so that they are known before anything is placed beside them. The test counts the lists: one for 200 tasks.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -97,6 +97,8 @@
     /// Tasks that were handed over before the list named their machine. Danger: their place is not known, so each counts
     /// at all places, and the module is to be told the place even where the machine is outside the view.
     unplaced: BTreeMap<MachineId, BTreeSet<RequestId>>,
+    /// Machines outside the view where tasks were handed over, whose places the module is not told yet.
+    outside: BTreeSet<MachineId>,
 }
 
 impl<D: Decide> View<D> {
@@ -132,6 +134,7 @@
             more_at: 0,
             open: BTreeMap::new(),
             unplaced: BTreeMap::new(),
+            outside: BTreeSet::new(),
         }
     }
 
@@ -543,7 +546,19 @@
 
     // ---- What happened ----
 
+    /// The places of tasks that were handed over outside the view, all at once: the module goes through its table for
+    /// each list.
+    fn place_outside(&mut self, events: &mut Vec<Event>) {
+        let outside = std::mem::take(&mut self.outside);
+        let known = outside.iter().filter(|m| !self.shown.contains(m)).filter_map(|m| self.fleet.get(m));
+        self.tell(known.map(|known| Self::gone(&known.line)).collect(), events);
+    }
+
     fn on_event(&mut self, event: &Event, events: &mut Vec<Event>) {
+        // Their places are known before anything is placed beside them.
+        if !matches!(event, Event::Standing { .. }) {
+            self.place_outside(events);
+        }
         match event {
             Event::MachineList { scope, version, lines } => {
                 return self.on_list(*scope, *version, lines, events);
@@ -567,8 +582,7 @@
                 self.unplaced.entry(*machine).or_default().insert(request.request);
             }
             Event::Standing { machine, .. } if self.bounded && !self.shown.contains(machine) => {
-                let line = self.fleet.get(machine).map(|known| Self::gone(&known.line));
-                self.tell(line.into_iter().collect(), events);
+                self.outside.insert(*machine);
             }
             Event::Ended { request, machine, .. } => {
                 if let Some(requests) = self.unplaced.get_mut(machine) {
@@ -644,6 +658,7 @@
         for event in events {
             self.on_event(event, &mut passed);
         }
+        self.place_outside(&mut passed);
         if self.bounded {
             let lines = self.look_further();
             self.tell(lines, &mut passed);
--- a/crates/fleet/tests/beyond.rs
+++ b/crates/fleet/tests/beyond.rs
@@ -201,3 +201,31 @@
     let in_rack = lines.iter().filter(|line| rack_of(line.machine) == rack_of(MachineId(0))).count();
     assert!(*last == end && in_rack >= 6, "{in_rack} of the rack's eight machines");
 }
+
+/// Danger: the module goes through its table for each list that it is told. A host's tasks come all at once after a restart,
+/// and one list for each made that the square of what stands.
+#[test]
+fn tasks_handed_over_together_outside_the_view_are_placed_by_one_list() {
+    let mut view = told(100, 3, SIZE);
+    view.decide(SECOND, &[list(ListScope::Full, 1, lines(0..2_000))]);
+    let outside: Vec<MachineId> = (0..2_000).map(MachineId).filter(|m| !view.shows(*m)).take(200).collect();
+    let stands =
+        |(i, machine): (u64, &MachineId)| Event::Standing { request: ask(i, 1, 7), machine: *machine };
+    let mut events: Vec<Event> = (0..).zip(&outside).map(stands).collect();
+    events.push(Event::Place(ask(1_000, 1, 7)));
+    view.decide(2 * SECOND, &events);
+    let events = &view.module().events;
+    let place = events.iter().position(|e| matches!(e, Event::Place(_))).expect("passed on");
+    let lists: Vec<&Vec<MachineLine>> = events[..place]
+        .iter()
+        .filter_map(|e| if let Event::MachineList { lines, .. } = e { Some(lines) } else { None })
+        .collect();
+    assert!(lines_of(lists[0]).eq(outside.iter().copied()), "their places come first, and at once");
+    assert!(lists[0].iter().all(|line| line.state == MachineState::Gone));
+    // Another one brings the homes of the service into view.
+    assert!(lists.len() <= 2, "{} lists", lists.len());
+}
+
+fn lines_of(lines: &[MachineLine]) -> impl Iterator<Item = MachineId> + '_ {
+    lines.iter().map(|line| line.machine)
+}
