--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -256,6 +256,18 @@
     }
 }
 
+/// Schedulers of a fleet of the target's size.
+const MANY: u64 = 400;
+
+/// Sweeps of a role with a bounded view. The more schedulers, the smaller a view: at the base's sixteen it holds two in five
+/// machines of a large fleet, and the sum of the slopes would not know that it holds one in eight among many. Machines rise
+/// among as many as share a fleet of the target's size.
+pub fn among_many(mut sweeps: Vec<(Axis, Vec<At>)>) -> Vec<(Axis, Vec<At>)> {
+    let machines = sweeps.iter_mut().filter(|(axis, _)| *axis == Axis::Machines);
+    machines.flat_map(|(_, points)| points).for_each(|at| at.schedulers = MANY);
+    sweeps
+}
+
 /// The sweeps of these axes and of all of them together: each up to its size on the platform, in five points of a quick
 /// run and seven of another.
 pub fn sweeps(axes: &[(Axis, u64)], quick: bool) -> Vec<(Axis, Vec<At>)> {
--- a/crates/scale/src/roles/controller.rs
+++ b/crates/scale/src/roles/controller.rs
@@ -5,7 +5,7 @@
 pub mod rig;
 mod words;
 
-use crate::load::{CHANGES, Play, SECOND, WINDOWS, resident, resident_each, sweeps as rising};
+use crate::load::{CHANGES, Play, SECOND, WINDOWS, among_many, resident, resident_each, sweeps as rising};
 use crate::roles::Role;
 use crate::row::{At, Axis, Measure};
 use anyhow::Result;
@@ -26,7 +26,7 @@
         (Axis::Classes, 96),
         (Axis::Connections, 20_000),
     ];
-    rising(&axes, quick)
+    among_many(rising(&axes, quick))
 }
 
 /// Links come up, and the tasks of an earlier life that stand are taken over, microseconds of simulated time.
--- a/crates/scale/src/roles/serve.rs
+++ b/crates/scale/src/roles/serve.rs
@@ -6,7 +6,7 @@
 pub mod rig;
 mod words;
 
-use crate::load::{CHANGES, Play, SECOND, WINDOWS, resident, resident_each, sweeps as rising};
+use crate::load::{CHANGES, Play, SECOND, WINDOWS, among_many, resident, resident_each, sweeps as rising};
 use crate::roles::Role;
 use crate::row::{At, Axis, Measure};
 use anyhow::Result;
@@ -26,7 +26,7 @@
         (Axis::Changes, 32),
         (Axis::Connections, 20_000),
     ];
-    rising(&axes, quick)
+    among_many(rising(&axes, quick))
 }
 
 /// A whole list and its settling, microseconds of simulated time.
