--- a/crates/scale/src/roles/processes.rs
+++ b/crates/scale/src/roles/processes.rs
@@ -117,7 +117,7 @@
         .zip(&idle_times)
         .zip(&placed)
         .map(|((load, idle), placed)| (load - idle) * lasted / placed);
-    let times = times.collect();
+    let times: Vec<f64> = times.collect();
     let total: f64 = placed.iter().sum();
     let (to, from) = ((bytes.now().0 - crossed.0) as f64, (bytes.now().1 - crossed.1) as f64);
     let ended: u64 = all.iter().map(|o| o.outcomes()[2]).sum();
@@ -132,7 +132,10 @@
         Measure::counted("owners_open", "count", open as f64 / at.schedulers as f64),
         Measure::counted("idle_bytes", "bytes/s", idle_bytes),
     ];
-    out.extend(Measure::of("start_processor_time", "us", Basis::Timed, times));
+    // A difference from the time at rest: with few starts it is less than that wavers, and says nothing.
+    if times.iter().all(|time| *time > 0.0) {
+        out.extend(Measure::of("start_processor_time", "us", Basis::Timed, times));
+    }
     out.extend(Measure::of("load_processor_time", "us/s", Basis::Timed, loads));
     out.extend(Measure::of("idle_processor_time", "us/s", Basis::Timed, idle_times));
     out.extend(Measure::of("resident", "bytes", Basis::Resident, each(Process::resident)?));
