Handovers of tasks that no node runs stay within the memory limit

Cause: engine/admission.rs: on_handover called id_for_name, which stores a node for each name, before any check. The limit on running tasks applied to the tasks only, and a node without tasks is never monitored, so never removed. The scheduler kept a node of its own for each such name until the next node list (src/scheduler/dispatch.rs: release_attempt).

Evidence: with 1,000 handovers and a limit of 50 tasks the engine held 1,002 nodes; the heap of engine and scheduler grew to 51,543,099 bytes with 100,000 handovers and a limit of 8 MB. Ruled out: send buffers (handovers are not answered) and the queue (handovers are not queued).

Same cause nearby: tasks that their node does not run filled the table of running tasks for good, so that a task that does run was not tracked and the client was not notified of its end.

Fix: a node that is not listed is stored with a task on it and removed with the last one; it counts as three tasks. A handed-over task is unconfirmed until its node sends a message about it. At the limit the connection with the most unconfirmed tasks yields. What is dropped between two batches of the scheduler is limited as well. Tasks are found by key on their node without a scan, which a flood made quadratic.

--- a/crates/cli/tests/support/configuration.rs
+++ b/crates/cli/tests/support/configuration.rs
@@ -76,6 +76,9 @@
     }
 }
 
+/// The memory limit of a single controller, in MiB.
+pub const MEMORY_MB: usize = 32;
+
 /// The configuration of a single controller that knows the nodes with these list entries.
 pub fn config(journal: SocketAddr, entries: &[String], sockets: usize) -> String {
     let known = (1, list_event(1, true, entries));
@@ -84,7 +87,7 @@
         name,
         journal,
         sockets,
-        memory_mb: 32,
+        memory_mb: MEMORY_MB,
         known,
         settings,
     }
--- a/crates/cli/tests/support/peer.rs
+++ b/crates/cli/tests/support/peer.rs
@@ -102,6 +102,15 @@
 /// The description of tasks that clients request.
 pub const DESCRIPTION: &[u8] = b"opaque \0\xff";
 
+/// A client's request to place an idempotent task with these attributes.
+pub fn request_with_attributes(id: u64, attributes: &str) -> Message {
+    Message::new(MessageKind::SetUp, id)
+        .with(code::CLASS, b"any")
+        .with(code::WAIT, b"4000")
+        .with(code::TASK, format!("{id:016x}").as_bytes())
+        .with(code::FIGURES, attributes.as_bytes())
+}
+
 /// A client's request to place a task.
 pub fn request(id: u64, class: &str) -> Message {
     Message::new(MessageKind::SetUp, id)
--- a/crates/cli/tests/support/process.rs
+++ b/crates/cli/tests/support/process.rs
@@ -104,6 +104,18 @@
         self.signal("-HUP");
     }
 
+    /// The peak of its resident memory, in KiB (`VmHWM` in proc(5)).
+    pub fn peak_memory_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("cannot read the status of the process");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = peak.and_then(|peak| peak.split_whitespace().next());
+        number
+            .and_then(|kib| kib.parse().ok())
+            .expect("no peak memory in /proc/PID/status")
+    }
+
     pub fn is_alive(&mut self) -> bool {
         self.child
             .try_wait()
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -12,7 +12,8 @@
 //! | `scheduling` | batches of events for the scheduler, and the actions it returns |
 //! | `node_list` | node list updates |
 //! | `clients` | client messages and client connections |
-//! | `admission` | admission of new requests and handover of running tasks |
+//! | `admission` | admission of new requests |
+//! | `handover` | handover of running tasks by clients |
 //! | `answers` | the final answer to each request |
 //! | `attempts` | dispatch, cancellation and end of attempts |
 //! | `running_tasks` | tasks from placement to completion |
@@ -23,7 +24,8 @@
 //! | `timers` | timer expiry |
 //!
 //! State is kept in `request` (requests and attempts), `node_connections` (nodes and connections), `fair_queue`
-//! (requests waiting for admission) and `timer_lag`. `attempt_matching` attributes messages to attempts, and
+//! (requests waiting for admission),
+//! `unconfirmed_handovers`, `completion_backlog` and `timer_lag`. `attempt_matching` attributes messages to attempts, and
 //! `request_parsing` parses message parameters.
 
 mod admission;
@@ -33,9 +35,11 @@
 mod attempts;
 mod bounds;
 mod clients;
+mod completion_backlog;
 mod connections;
 mod counters;
 mod fair_queue;
+mod handover;
 mod io;
 mod node_connections;
 mod node_list;
@@ -47,12 +51,14 @@
 mod scheduling;
 mod timer_lag;
 mod timers;
+mod unconfirmed_handovers;
 
 pub use bounds::Bounds;
 pub use counters::Counters;
 pub use io::{ClientId, Disconnect, Input, NodeConnectionId, Output};
 
 use clients::Client;
+use completion_backlog::CompletionBacklog;
 use fair_queue::FairQueue;
 use node_connections::NodeConnections;
 use notifications::UndeliveredNotification;
@@ -63,6 +69,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use timer_lag::TimerLag;
 use timers::Timer;
+use unconfirmed_handovers::UnconfirmedHandovers;
 
 const MICROS_PER_MILLI: Micros = 1000;
 
@@ -81,6 +88,8 @@
     requests: RequestTable,
     clients: BTreeMap<ClientId, Client>,
     queue: FairQueue,
+    unconfirmed_handovers: UnconfirmedHandovers,
+    completion_backlog: CompletionBacklog,
     undelivered: VecDeque<UndeliveredNotification>,
     nodes: NodeConnections,
     timers: Timers<Timer>,
@@ -111,6 +120,8 @@
             requests: RequestTable::default(),
             clients: BTreeMap::new(),
             queue: FairQueue::default(),
+            unconfirmed_handovers: UnconfirmedHandovers::default(),
+            completion_backlog: CompletionBacklog::default(),
             undelivered: VecDeque::new(),
             nodes: NodeConnections::new(seed),
             timers: Timers::default(),
--- a/crates/platform/src/engine/admission.rs
+++ b/crates/platform/src/engine/admission.rs
@@ -1,11 +1,11 @@
-//! Admission of new requests, and handover of running tasks.
+//! Admission of new requests.
 
-use super::request::{Attempt, AttemptState, Payload, Request};
+use super::request::{Payload, Request};
 use super::request_parsing::{self, ParsedRequest};
 use super::timers::Timer;
-use super::{ClientId, NodeConnectionId, PlatformEngine};
+use super::{ClientId, PlatformEngine};
 use crate::wire::{Message, cause};
-use peppercove::{Event, Micros, NodeId, PlacementRequest, RequestId};
+use peppercove::{Event, Micros, PlacementRequest};
 use peppercove_core::Decide;
 use peppercove_core::request_state::RequestState;
 
@@ -104,6 +104,7 @@
             deadline,
             state: RequestState::Pending,
             placed_at: 0,
+            unconfirmed_from: None,
             payload: Some(payload),
             attempts: Vec::new(),
             ambiguous_end: None,
@@ -113,80 +114,6 @@
         self.deliver_pending_notifications(client);
     }
 
-    /// Handles the handover of a task that runs on a node.
-    fn on_handover(
-        &mut self,
-        client: ClientId,
-        wire_id: u64,
-        request: PlacementRequest,
-        node_name: &str,
-    ) {
-        let node = self.nodes.id_for_name(node_name);
-        if self.requests.find(wire_id).is_some() {
-            return;
-        }
-        match self.nodes.find_running_task(node, request.task) {
-            Some(tracked) => self.change_task_id(tracked, client, wire_id),
-            None if self.nodes.running_tasks() < self.bounds.running_tasks => {
-                self.adopt_task(client, wire_id, request, node);
-            }
-            None => {}
-        }
-    }
-
-    /// Adopts a running task that this controller does not track yet.
-    fn adopt_task(
-        &mut self,
-        client: ClientId,
-        wire_id: u64,
-        request: PlacementRequest,
-        node: NodeId,
-    ) {
-        let (id, task) = (request.id, request.task);
-        self.clients.entry(client).or_default().has_sent_request = true;
-        let attempt = Attempt {
-            node,
-            connection: NodeConnectionId(0),
-            state: AttemptState::Resolved,
-            expires_at: self.now,
-        };
-        self.requests.insert(Request {
-            wire_id,
-            previous_wire_id: None,
-            task,
-            client,
-            received_at: self.now,
-            deadline: self.now,
-            state: RequestState::Placed(0),
-            placed_at: self.now,
-            payload: None,
-            attempts: vec![attempt],
-            ambiguous_end: None,
-            pending_cancel: None,
-        });
-        self.events.push(Event::RunningTask { request, node });
-        self.track_running_task(node, id, task);
-    }
-
-    /// Changes the id of a tracked task that is handed over under another id. This happens if its client did not learn
-    /// where the task runs, or was notified that it ended, and then found it on its node.
-    ///
-    /// Invariant: the node uses the new id from now on, so the engine must know it to notify the client of the end.
-    /// Messages that the node sent before the handover still carry the previous id.
-    fn change_task_id(&mut self, id: RequestId, client: ClientId, wire_id: u64) {
-        self.clients.entry(client).or_default().has_sent_request = true;
-        self.requests.change_wire_id(id, wire_id);
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        request.client = client;
-        if request.pending_cancel.is_some() {
-            // The cancellation continues, and the client must be notified of it under the new id as well.
-            self.notify_end(id, cause::CUT);
-            self.deliver_cancel(id);
-        }
-    }
-
     fn reject(&mut self, client: ClientId, wire_id: u64) {
         self.send_to_client(client, &Message::release(wire_id, cause::TURNED_AWAY));
     }
--- a/crates/platform/src/engine/bounds.rs
+++ b/crates/platform/src/engine/bounds.rs
@@ -32,6 +32,8 @@
     pub open_requests_per_client: usize,
     /// Maximum number of running tasks.
     pub running_tasks: usize,
+    /// Maximum number of requests that clients may cause to complete between two batches of the scheduler.
+    pub completions_per_batch: usize,
     /// Number of connections to one node over which requests are distributed.
     pub connections_per_node: usize,
     /// Maximum number of connections to clients and nodes together.
@@ -66,13 +68,16 @@
         // rest is for connections to nodes.
         let client_connections = config.limits.sockets / 3 * 2;
         let connections = config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS);
+        // One KiB per task, in an eighth of the memory. A task beyond this limit is not tracked, and no client is notified
+        // of its end.
+        let running_tasks = (memory_kib / 8).max(MIN_RUNNING_TASKS);
         Bounds {
             open_requests,
             open_requests_per_client: (open_requests / 4)
                 .clamp(MIN_OPEN_REQUESTS_PER_CLIENT, MAX_OPEN_REQUESTS_PER_CLIENT),
-            // One KiB per task, in an eighth of the memory. A task beyond this limit is not tracked, and no client is
-            // notified of its end.
-            running_tasks: (memory_kib / 8).max(MIN_RUNNING_TASKS),
+            running_tasks,
+            // A completed request needs no more memory than a running task.
+            completions_per_batch: running_tasks,
             connections_per_node: 1,
             connections,
             node_connections: node_connections(connections, client_connections, 0),
--- a/crates/platform/src/engine/counters.rs
+++ b/crates/platform/src/engine/counters.rs
@@ -9,6 +9,8 @@
     pub invalid: u64,
     /// Requests rejected because a limit was reached.
     pub over_limit: u64,
+    /// Handed-over tasks that are not tracked, or no longer tracked, because the limit on running tasks was reached.
+    pub handovers_dropped: u64,
     /// Attempts sent, or queued for their connection.
     pub dispatched: u64,
     /// Requests answered with a placement.
--- /dev/null
+++ b/crates/platform/src/engine/handover.rs
@@ -0,0 +1,138 @@
+//! Handover of running tasks by clients, for example after a restart of the controller.
+
+use super::request::{Attempt, AttemptId, AttemptState, Request};
+use super::{ClientId, NodeConnectionId, PlatformEngine};
+use crate::wire::cause;
+use peppercove::{AttemptOutcome, Event, NodeId, PlacementRequest, RequestId};
+use peppercove_core::Decide;
+use peppercove_core::request_state::RequestState;
+
+/// Worst-case memory use of the state of an unlisted node, relative to that of a running task.
+const UNLISTED_NODE_COST: usize = 3;
+
+impl<D: Decide> PlatformEngine<D> {
+    /// Handles the handover of a task that runs on a node.
+    pub(super) fn on_handover(
+        &mut self,
+        client: ClientId,
+        wire_id: u64,
+        request: PlacementRequest,
+        node_name: &str,
+    ) {
+        if self.requests.find(wire_id).is_some() {
+            return;
+        }
+        let node = self.nodes.find_by_name(node_name);
+        let tracked = node.and_then(|node| self.nodes.find_running_task(node, request.task));
+        if let Some(tracked) = tracked {
+            self.change_task_id(tracked, client, wire_id);
+        } else if self.make_room_for_handover(client, node.is_some()) {
+            // Invariant: a node that is not listed is stored only together with a task on it.
+            let node = self.nodes.find_or_create(node_name);
+            self.adopt_task(client, wire_id, request, node);
+        } else {
+            self.counters.handovers_dropped += 1;
+        }
+    }
+
+    /// Whether a further handed-over task can be tracked.
+    ///
+    /// At the limit, unconfirmed handovers of the client connection with the most of them are dropped, unless the new
+    /// one would have as many. A client that hands over tasks which no node runs therefore cannot keep the controller
+    /// from tracking the tasks of other clients.
+    fn make_room_for_handover(&mut self, client: ClientId, is_node_known: bool) -> bool {
+        let cost = 1 + if is_node_known { 0 } else { UNLISTED_NODE_COST };
+        let own = self.unconfirmed_handovers.len_of(client);
+        while self.handover_cost() + cost > self.bounds.running_tasks {
+            let limit = self.bounds.completions_per_batch;
+            if self.completion_backlog.is_full_for(client, limit) {
+                return false;
+            }
+            let Some(dropped) = self.unconfirmed_handovers.last_of_largest(own + 1) else {
+                return false;
+            };
+            self.completion_backlog.add(client);
+            self.drop_handover(dropped);
+        }
+        true
+    }
+
+    /// The memory used for running tasks and for the unlisted nodes on which they run, in tasks.
+    fn handover_cost(&self) -> usize {
+        self.nodes.running_tasks() + self.nodes.unlisted_nodes() * UNLISTED_NODE_COST
+    }
+
+    /// Stops tracking a task that no node has confirmed. Nothing is sent to its client: it was notified of nothing else
+    /// when a handover is not tracked in the first place.
+    fn drop_handover(&mut self, id: RequestId) {
+        self.counters.handovers_dropped += 1;
+        let attempt = AttemptId {
+            request: id,
+            number: 0,
+        };
+        self.complete_task(attempt, AttemptOutcome::Cancelled.into());
+    }
+
+    /// Records that a node has sent a message about a task, which shows that the task exists.
+    pub(super) fn confirm_handover(&mut self, id: RequestId) {
+        let request = self.requests.get_mut(id);
+        if let Some(client) = request.and_then(|request| request.unconfirmed_from.take()) {
+            self.unconfirmed_handovers.remove(client, id);
+        }
+    }
+
+    /// Adopts a running task that this controller does not track yet.
+    fn adopt_task(
+        &mut self,
+        client: ClientId,
+        wire_id: u64,
+        request: PlacementRequest,
+        node: NodeId,
+    ) {
+        let (id, task) = (request.id, request.task);
+        self.clients.entry(client).or_default().has_sent_request = true;
+        let attempt = Attempt {
+            node,
+            connection: NodeConnectionId(0),
+            state: AttemptState::Resolved,
+            expires_at: self.now,
+        };
+        self.requests.insert(Request {
+            wire_id,
+            previous_wire_id: None,
+            task,
+            client,
+            received_at: self.now,
+            deadline: self.now,
+            state: RequestState::Placed(0),
+            placed_at: self.now,
+            unconfirmed_from: Some(client),
+            payload: None,
+            attempts: vec![attempt],
+            ambiguous_end: None,
+            pending_cancel: None,
+        });
+        self.unconfirmed_handovers.insert(client, id);
+        self.events.push(Event::RunningTask { request, node });
+        self.track_running_task(node, id, task);
+    }
+
+    /// Changes the id of a tracked task that is handed over under another id. This happens if its client did not learn
+    /// where the task runs, or was notified that it ended, and then found it on its node.
+    ///
+    /// Invariant: the node uses the new id from now on, so the engine must know it to notify the client of the end.
+    /// Messages that the node sent before the handover still carry the previous id.
+    fn change_task_id(&mut self, id: RequestId, client: ClientId, wire_id: u64) {
+        self.clients.entry(client).or_default().has_sent_request = true;
+        self.requests.change_wire_id(id, wire_id);
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.client = client;
+        if request.pending_cancel.is_some() {
+            // The cancellation continues, and the client must be notified of it under the new id as well.
+            self.notify_end(id, cause::CUT);
+            self.deliver_cancel(id);
+        }
+    }
+}
--- a/crates/platform/src/engine/node_connections.rs
+++ b/crates/platform/src/engine/node_connections.rs
@@ -30,6 +30,8 @@
     pub(super) list_version: u64,
     /// Number of running tasks on all nodes.
     running_tasks: usize,
+    /// Number of nodes that have never been listed.
+    unlisted_nodes: usize,
     next_connection: u64,
     /// Generates the jitter of reconnect delays.
     rng: fastrand::Rng,
@@ -43,6 +45,7 @@
             connections: BTreeMap::new(),
             list_version: 0,
             running_tasks: 0,
+            unlisted_nodes: 0,
             next_connection: 1,
             rng: fastrand::Rng::with_seed(seed),
         }
--- a/crates/platform/src/engine/node_connections/listed_nodes.rs
+++ b/crates/platform/src/engine/node_connections/listed_nodes.rs
@@ -6,6 +6,7 @@
 use peppercove::adapter_protocol::RecordSchema;
 use peppercove::{Micros, NodeEntry, NodeId, NodeStatus, RequestId, TaskKey};
 use peppercove_core::Backoff;
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,11 +20,15 @@
 #[derive(Debug)]
 pub(super) struct Node {
     pub(super) name: String,
+    /// Whether the node has ever been in the node list.
+    pub(super) is_listed: bool,
     /// `None` until the node is listed.
     pub(super) address: Option<SocketAddr>,
     pub(super) entry: NodeEntry,
     pub(super) connections: Vec<NodeConnectionId>,
     pub(super) running_tasks: BTreeMap<RequestId, TaskKey>,
+    /// The running tasks, ordered by key.
+    pub(super) tasks_by_key: BTreeSet<(TaskKey, RequestId)>,
     pub(super) last_contact_at: Micros,
     pub(super) is_monitored: bool,
     pub(super) backoff: Backoff,
@@ -39,6 +44,7 @@
     fn new(id: NodeId, name: &str) -> Node {
         Node {
             name: name.to_owned(),
+            is_listed: false,
             address: None,
             entry: NodeEntry {
                 node: id,
@@ -46,6 +52,7 @@
             },
             connections: Vec::new(),
             running_tasks: BTreeMap::new(),
+            tasks_by_key: BTreeSet::new(),
             last_contact_at: 0,
             is_monitored: false,
             backoff: Backoff::new(MIN_RECONNECT_DELAY, MAX_RECONNECT_DELAY),
@@ -107,19 +114,38 @@
 }
 
 impl NodeConnections {
-    /// Returns the id of the node with this name, and creates the node if it is new. Every controller must compute the
-    /// same id, because the scheduler ranks preferred nodes by it.
-    pub(in crate::engine) fn id_for_name(&mut self, name: &str) -> NodeId {
+    /// Returns the id that a node with this name has or would get. Every controller must compute the same id, because
+    /// the scheduler ranks preferred nodes by it.
+    fn id_for_name(&self, name: &str) -> NodeId {
         let mut id = NodeId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         while self.nodes.get(&id).is_some_and(|node| node.name != name) {
             // The hash collides with that of another name: the later name takes the next id.
             id = NodeId(id.0.wrapping_add(1));
         }
-        let new_node = || Node::new(id, name);
-        self.nodes.entry(id).or_insert_with(new_node);
         id
     }
 
+    /// Returns the id of the node with this name, if state is held for it.
+    pub(in crate::engine) fn find_by_name(&self, name: &str) -> Option<NodeId> {
+        let id = self.id_for_name(name);
+        self.nodes.contains_key(&id).then_some(id)
+    }
+
+    /// Returns the id of the node with this name, and creates the node if it is new.
+    pub(in crate::engine) fn find_or_create(&mut self, name: &str) -> NodeId {
+        let id = self.id_for_name(name);
+        if let Entry::Vacant(vacant) = self.nodes.entry(id) {
+            vacant.insert(Node::new(id, name));
+            self.unlisted_nodes += 1;
+        }
+        id
+    }
+
+    /// Number of nodes that have never been listed. They are known only because a client handed over a task on them.
+    pub(in crate::engine) fn unlisted_nodes(&self) -> usize {
+        self.unlisted_nodes
+    }
+
     /// Applies an update of the node list.
     pub(in crate::engine) fn apply_update(
         &mut self,
@@ -129,11 +155,14 @@
         let mut changes = ListChanges::default();
         let mut listed = BTreeSet::new();
         for node_update in &update.servers {
-            let id = self.id_for_name(&node_update.id);
+            let id = self.find_or_create(&node_update.id);
             listed.insert(id);
             let Some(node) = self.nodes.get_mut(&id) else {
                 continue;
             };
+            if !std::mem::replace(&mut node.is_listed, true) {
+                self.unlisted_nodes -= 1;
+            }
             if let Some(started_at) = node.apply(node_update, schema) {
                 let node = id;
                 changes.restarted.push(Restart { node, started_at });
@@ -181,6 +210,9 @@
             return;
         };
         if node.is_gone() && node.connections.is_empty() && node.running_tasks.is_empty() {
+            if !node.is_listed {
+                self.unlisted_nodes -= 1;
+            }
             self.nodes.remove(&id);
         }
     }
--- a/crates/platform/src/engine/node_connections/tasks.rs
+++ b/crates/platform/src/engine/node_connections/tasks.rs
@@ -33,9 +33,11 @@
         node: NodeId,
         task: TaskKey,
     ) -> Option<RequestId> {
-        let mut tasks = self.nodes.get(&node)?.running_tasks.iter();
-        let (request, _) = tasks.find(|(_, running)| **running == task)?;
-        Some(*request)
+        let tasks = &self.nodes.get(&node)?.tasks_by_key;
+        let first = tasks.range((task, RequestId(0))..).next();
+        first
+            .filter(|(key, _)| *key == task)
+            .map(|(_, request)| *request)
     }
 
     /// Adds a running task to a node.
@@ -48,20 +50,25 @@
         let Some(node) = self.nodes.get_mut(&node) else {
             return;
         };
+        node.tasks_by_key.insert((task, request));
         if node.running_tasks.insert(request, task).is_none() {
             self.running_tasks += 1;
         }
     }
 
-    /// Removes a task that no longer runs on a node.
-    pub(in crate::engine) fn remove_running_task(&mut self, node: NodeId, request: RequestId) {
-        let Some(node) = self.nodes.get_mut(&node) else {
+    /// Removes a task that no longer runs on a node. An unlisted node is removed with its last task.
+    pub(in crate::engine) fn remove_running_task(&mut self, id: NodeId, request: RequestId) {
+        let Some(node) = self.nodes.get_mut(&id) else {
             return;
         };
         node.pending_cancels.remove(&request);
-        if node.running_tasks.remove(&request).is_some() {
+        if let Some(task) = node.running_tasks.remove(&request) {
+            node.tasks_by_key.remove(&(task, request));
             self.running_tasks -= 1;
         }
+        if !node.is_listed {
+            self.remove_if_gone(id);
+        }
     }
 
     /// Starts monitoring a node that now has attempts or tasks. Returns true if it was not monitored before.
--- a/crates/platform/src/engine/node_messages.rs
+++ b/crates/platform/src/engine/node_messages.rs
@@ -50,6 +50,7 @@
 
     /// Applies a message to the attempt that is open or that placed the task.
     pub(super) fn apply_message(&mut self, id: AttemptId, node: NodeId, message: &Message) {
+        self.confirm_handover(id.request);
         match message.kind {
             MessageKind::Answer => self.on_answer(id, node, message),
             MessageKind::Release => self.on_node_release(id, node, message),
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -114,6 +114,8 @@
     pub(super) deadline: Micros,
     pub(super) state: RequestState,
     pub(super) placed_at: Micros,
+    /// The client connection on which the task was handed over, until its node has sent a message about it.
+    pub(super) unconfirmed_from: Option<ClientId>,
     /// Present until the request is answered.
     pub(super) payload: Option<Payload>,
     pub(super) attempts: Vec<Attempt>,
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -51,7 +51,11 @@
         let Some(node) = request.attempt(id.number).map(|a| a.node) else {
             return;
         };
+        let unconfirmed_from = request.unconfirmed_from.take();
         self.requests.mark_completed(id.request);
+        if let Some(client) = unconfirmed_from {
+            self.unconfirmed_handovers.remove(client, id.request);
+        }
         self.nodes.remove_running_task(node, id.request);
         self.report_attempt_end(id, node, end, true);
     }
--- a/crates/platform/src/engine/scheduling.rs
+++ b/crates/platform/src/engine/scheduling.rs
@@ -26,6 +26,7 @@
         }
         // The scheduler has been informed that these requests are completed and no longer refers to them.
         self.requests.remove_completed();
+        self.completion_backlog.clear();
     }
 
     fn execute(&mut self, action: Action) {
--- a/crates/platform/tests/engine/fixtures.rs
+++ b/crates/platform/tests/engine/fixtures.rs
@@ -20,6 +20,7 @@
         open_requests: 50,
         open_requests_per_client: 5,
         running_tasks: 50,
+        completions_per_batch: 100,
         connections_per_node: 1,
         connections: 53,
         node_connections: 3,
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod fixtures;
 mod handover;
+mod handover_limits;
 mod harness;
 mod node_list;
 mod random_answers;
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -95,6 +95,10 @@
         node.programs.remove_task(spec.service, now);
         if !node.programs.has_running_tasks() {
             node.load.clear_own();
+            if !node.is_listed {
+                // No list ever removes it.
+                self.nodes.remove(&node_id);
+            }
         }
     }
 }
