Requests that their client withdraws leave no state behind

Cause: the number of open requests is limited, but their timers stayed until they fired (crates/core/src/timers.rs had no cancel), their entries in the scheduler's queue until a scan or their deadline (src/scheduler/queue.rs), two load changes of the node per attempt for the poll interval (load_estimate.rs: set_own), the time of each attempt for two overload windows (slow_start.rs: record), and request and events until the next batch, which a long tick delays. The lists were scanned for each attempt.

Fix: timers can be cancelled, completed requests leave the queue, changes of one batch are one entry, 256 per node are kept, and attempts up to the slow-start budget, beyond which their number makes no difference. Requests withdrawn between two batches are limited in total and per connection.

--- a/crates/cli/tests/engine_memory.rs
+++ b/crates/cli/tests/engine_memory.rs
@@ -5,7 +5,7 @@
 use peppercove::{Micros, Scheduler};
 use peppercove_fleet::{NodeSubset, SubsetScheduler};
 use peppercove_platform::config::Config;
-use peppercove_platform::wire::Message;
+use peppercove_platform::wire::{Message, cause};
 use peppercove_platform::{Bounds, ClientId, Input, Output, PlatformEngine};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use support::configuration::{Configuration, SETTINGS, list_entry, list_event, replaced};
@@ -109,11 +109,52 @@
     }
 }
 
+/// Settings with deadlines, and a poll interval, of an hour.
+fn settings_with_long_times() -> String {
+    let settings = replaced(
+        SETTINGS,
+        r#""deadline":4000000"#,
+        r#""deadline":3600000000"#,
+    );
+    replaced(
+        &settings,
+        r#""ask-every":10000000"#,
+        r#""ask-every":3600000000"#,
+    )
+}
+
 /// Settings with a second between two batches of the scheduler.
 fn settings_with_long_tick() -> String {
     replaced(SETTINGS, r#""tick":1000"#, r#""tick":1000000"#)
 }
 
+/// Requests, each withdrawn directly after it was sent.
+fn send_withdrawn_requests(settings: &str, attributes: &str) {
+    let mut flood = Flood::new(settings);
+    for id in 1..=100_000 {
+        flood.send(request_with_attributes(id, attributes));
+        flood.send(Message::release(id, cause::ORDINARY));
+    }
+    flood.assert_within_memory_limit();
+}
+
+/// Guards against timers, and load changes in the scheduler's table, that are kept although the request is withdrawn.
+#[test]
+fn withdrawn_requests_stay_within_the_memory_limit() {
+    for settings in [settings_with_long_tick(), settings_with_long_times()] {
+        send_withdrawn_requests(&settings, "cores:1;memory:2;service:aa");
+    }
+}
+
+/// Guards against entries of the scheduler's queue that are kept although the request is withdrawn. No node has room
+/// for these requests, because all its memory is requested by the first one.
+#[test]
+fn withdrawn_requests_that_no_node_has_room_for_stay_within_the_memory_limit() {
+    for settings in [settings_with_long_tick(), settings_with_long_times()] {
+        send_withdrawn_requests(&settings, "cores:1;memory:90;service:aa");
+    }
+}
+
 /// Guards against state that is kept for each node that a handover names, in the engine and in the scheduler.
 #[test]
 fn handovers_on_unlisted_nodes_stay_within_the_memory_limit() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,7 +24,7 @@
     AttemptUpdate, Control, Core, Counters, Input, Limits, Output, Rejection, ReportedTask,
 };
 pub use jobs::{Answer, Job, JobId, JobState, Program, Submission, TaskEnd};
-pub use timers::Timers;
+pub use timers::{TimerId, Timers};
 
 use peppercove::{Action, Event, Micros, Scheduler};
 
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -3,17 +3,17 @@
 use peppercove::Micros;
 use std::collections::BTreeMap;
 
-/// Sort key of a timer. The sequence number orders timers with equal deadlines.
+/// Identifies a timer, and sorts timers by deadline. The sequence number orders timers with equal deadlines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct TimerKey {
+pub struct TimerId {
     deadline: Micros,
     sequence: u64,
 }
 
-/// A timer queue. Timers cannot be cancelled: the receiver checks whether a timer still applies.
+/// A timer queue. A timer that no longer applies should be cancelled, because it uses memory until it fires.
 #[derive(Debug)]
 pub struct Timers<T> {
-    queue: BTreeMap<TimerKey, T>,
+    queue: BTreeMap<TimerId, T>,
     next_sequence: u64,
 }
 
@@ -28,15 +28,19 @@
 
 impl<T> Timers<T> {
     /// Adds a timer. Timers with equal deadlines fire in the order in which they were added.
-    pub fn schedule(&mut self, deadline: Micros, timer: T) {
-        self.queue.insert(
-            TimerKey {
-                deadline,
-                sequence: self.next_sequence,
-            },
-            timer,
-        );
+    pub fn schedule(&mut self, deadline: Micros, timer: T) -> TimerId {
+        let id = TimerId {
+            deadline,
+            sequence: self.next_sequence,
+        };
+        self.queue.insert(id, timer);
         self.next_sequence += 1;
+        id
+    }
+
+    /// Removes a timer. Does nothing if it has fired.
+    pub fn cancel(&mut self, id: TimerId) {
+        self.queue.remove(&id);
     }
 
     /// The deadline of the next timer.
--- a/crates/platform/src/engine/admission.rs
+++ b/crates/platform/src/engine/admission.rs
@@ -94,7 +94,7 @@
         // Clients normally cancel requests themselves at the deadline. The timer covers clients that are unreachable.
         let grace = self.settings.answer_slack + self.bounds.health_check_interval;
         let give_up_at = deadline.saturating_add(grace);
-        self.timers.schedule(give_up_at, Timer::RequestDeadline(id));
+        let deadline_timer = self.timers.schedule(give_up_at, Timer::RequestDeadline(id));
         self.requests.insert(Request {
             wire_id,
             previous_wire_id: None,
@@ -102,6 +102,7 @@
             client,
             received_at,
             deadline,
+            deadline_timer: Some(deadline_timer),
             state: RequestState::Pending,
             placed_at: 0,
             unconfirmed_from: None,
--- a/crates/platform/src/engine/answers.rs
+++ b/crates/platform/src/engine/answers.rs
@@ -23,6 +23,9 @@
     /// Cancels a request whose client no longer waits for it. No answer is sent.
     pub(super) fn cancel_request(&mut self, request: RequestId) {
         self.counters.cancelled += 1;
+        if let Some(client) = self.requests.get(request).map(|r| r.client) {
+            self.completion_backlog.add(client);
+        }
         self.events.push(Event::RequestCancelled(request));
         self.close_request(request);
     }
@@ -52,6 +55,8 @@
         debug_assert!(transition.is_ok());
         request.payload = None;
         let client = request.client;
+        let deadline_timer = request.deadline_timer.take();
+        self.cancel_timer(deadline_timer);
         self.remove_open_request(client, id);
         self.requests.mark_completed(id);
         if let Some(number) = dispatched {
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -56,6 +56,7 @@
             connection: NodeConnectionId(0),
             state: AttemptState::Resolved,
             expires_at,
+            timeout_timer: None,
         });
         Some(AttemptId {
             request: id,
@@ -87,8 +88,8 @@
         };
         attempt.connection = connection;
         attempt.state = AttemptState::Queued;
-        let expires_at = attempt.expires_at;
-        self.timers.schedule(expires_at, Timer::AttemptTimeout(id));
+        let timeout = Timer::AttemptTimeout(id);
+        attempt.timeout_timer = Some(self.timers.schedule(attempt.expires_at, timeout));
         self.nodes.queue_attempt(connection, id);
     }
 
@@ -168,11 +169,13 @@
             return;
         };
         attempt.state = state;
+        let timeout_timer = attempt.timeout_timer.take();
         self.nodes.remove_attempt(attempt.connection, id);
         if !is_final {
             let transition = request.state.transition_to(RequestState::Pending);
             debug_assert!(transition.is_ok());
         }
+        self.cancel_timer(timeout_timer);
     }
 
     /// Reports the end of an attempt to the scheduler.
--- a/crates/platform/src/engine/clients.rs
+++ b/crates/platform/src/engine/clients.rs
@@ -54,7 +54,8 @@
         self.queue.push(client, self.now, answer_by, message);
     }
 
-    /// Whether a limit on open requests is reached, so that no further request is accepted on this connection.
+    /// Whether a limit on open requests, or on requests withdrawn since the last batch, is reached, so that no further
+    /// request is accepted on this connection.
     pub(super) fn is_at_limit(&self, client: ClientId) -> bool {
         let admitted = self
             .clients
@@ -63,6 +64,9 @@
         let open_on_connection = admitted + self.queue.len_of(client);
         open_on_connection >= self.bounds.open_requests_per_client
             || self.open_requests() >= self.bounds.open_requests
+            || self
+                .completion_backlog
+                .is_full_for(client, self.bounds.completions_per_batch)
     }
 
     /// Handles a release from a client: it cancels an open request or ends a running task.
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -96,6 +96,7 @@
             connection: NodeConnectionId(0),
             state: AttemptState::Resolved,
             expires_at: self.now,
+            timeout_timer: None,
         };
         self.requests.insert(Request {
             wire_id,
@@ -104,6 +105,7 @@
             client,
             received_at: self.now,
             deadline: self.now,
+            deadline_timer: None,
             state: RequestState::Placed(0),
             placed_at: self.now,
             unconfirmed_from: Some(client),
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -3,6 +3,7 @@
 use super::{ClientId, NodeConnectionId};
 use crate::wire::Message;
 use peppercove::{AttemptOutcome, EndReason, LoadReport, Micros, NodeId, RequestId, TaskKey};
+use peppercove_core::TimerId;
 use peppercove_core::request_state::RequestState;
 use std::collections::BTreeMap;
 
@@ -29,6 +30,8 @@
     pub(super) connection: NodeConnectionId,
     pub(super) state: AttemptState,
     pub(super) expires_at: Micros,
+    /// The timer of its timeout, while it is open.
+    pub(super) timeout_timer: Option<TimerId>,
 }
 
 /// Progress of an attempt.
@@ -112,6 +115,8 @@
     pub(super) client: ClientId,
     pub(super) received_at: Micros,
     pub(super) deadline: Micros,
+    /// The timer that cancels the request after its deadline, while it is open.
+    pub(super) deadline_timer: Option<TimerId>,
     pub(super) state: RequestState,
     pub(super) placed_at: Micros,
     /// The client connection on which the task was handed over, until its node has sent a message about it.
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -18,11 +18,15 @@
         request.placed_at = self.now;
         request.payload = None;
         let (client, task) = (request.client, request.task);
+        let deadline_timer = request.deadline_timer.take();
         let Some(attempt) = request.attempt_mut(id.number) else {
             return;
         };
         attempt.state = AttemptState::Resolved;
+        let timeout_timer = attempt.timeout_timer.take();
         self.nodes.remove_attempt(attempt.connection, id);
+        self.cancel_timer(deadline_timer);
+        self.cancel_timer(timeout_timer);
         self.remove_open_request(client, id.request);
         self.events.push(Event::Placed {
             request: id.request,
--- a/crates/platform/src/engine/timers.rs
+++ b/crates/platform/src/engine/timers.rs
@@ -3,7 +3,7 @@
 use super::PlatformEngine;
 use super::request::{AttemptId, HealthCheck, Request};
 use peppercove::{AttemptOutcome, Event, Micros, NodeId, RequestId};
-use peppercove_core::Decide;
+use peppercove_core::{Decide, TimerId};
 
 /// A timer of the engine.
 #[derive(Debug)]
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Cancels a timer that no longer applies, if there is one.
+    pub(super) fn cancel_timer(&mut self, timer: Option<TimerId>) {
+        if let Some(timer) = timer {
+            self.timers.cancel(timer);
+        }
+    }
+
     fn on_timer(&mut self, timer: Timer) {
         match timer {
             Timer::Scheduler { label } => self.events.push(Event::Timer(label)),
--- a/src/scheduler/load_estimate.rs
+++ b/src/scheduler/load_estimate.rs
@@ -16,6 +16,9 @@
 /// Divisor of the shortest latency objective that gives the assumed age of a load report on
 /// arrival. The actual age is unknown.
 const OBJECTIVES_PER_REPORT_AGE: Micros = 2;
+/// Maximum number of changes of own load that are remembered per node. If there are more, the load
+/// after the latest remembered one is only approximate.
+const MAX_OWN_HISTORY: usize = 256;
 /// Lower bound for capacities that are used as divisors.
 pub(super) const MIN_CAPACITY: f64 = 1e-9;
 
@@ -136,12 +139,18 @@
     }
 
     fn set_own(&mut self, own: Resources, now: Micros, retention: Micros) {
-        self.own_history
-            .retain(|change| change.changed_at + retention > now);
-        self.own_history.push_back(OwnLoadChange {
-            changed_at: now,
-            before: self.own,
-        });
+        let is_expired = |change: &OwnLoadChange| change.changed_at + retention <= now;
+        while self.own_history.front().is_some_and(is_expired) {
+            self.own_history.pop_front();
+        }
+        // Of several changes in one batch, the first has the load before all of them.
+        let is_same_batch = self.own_history.back().map(|change| change.changed_at) == Some(now);
+        if !is_same_batch && self.own_history.len() < MAX_OWN_HISTORY {
+            self.own_history.push_back(OwnLoadChange {
+                changed_at: now,
+                before: self.own,
+            });
+        }
         self.own = own.at_least_zero();
     }
 
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -63,6 +63,10 @@
         now >= self.next_scan_at && self.has_capacity_change && !self.entries.is_empty()
     }
 
+    fn remove(&mut self, entry: QueueEntry) {
+        self.entries.remove(&entry);
+    }
+
     fn begin_scan(&mut self, next_scan_at: Micros) -> BTreeSet<QueueEntry> {
         (self.has_capacity_change, self.next_scan_at) = (false, next_scan_at);
         std::mem::take(&mut self.entries)
@@ -71,15 +75,26 @@
 
 impl Scheduler {
     pub(super) fn enqueue(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get(&id) {
-            let answer_by = self.answer_by(request);
-            self.queue.entries.insert(QueueEntry {
-                answer_by,
-                request: id,
-            });
+        if let Some(entry) = self.queue_entry(id) {
+            self.queue.entries.insert(entry);
         }
     }
 
+    /// Removes a request from the queue. Must be called before the request changes.
+    pub(super) fn dequeue(&mut self, id: RequestId) {
+        if let Some(entry) = self.queue_entry(id) {
+            self.queue.remove(entry);
+        }
+    }
+
+    fn queue_entry(&self, id: RequestId) -> Option<QueueEntry> {
+        let answer_by = self.answer_by(self.requests.get(&id)?);
+        Some(QueueEntry {
+            answer_by,
+            request: id,
+        })
+    }
+
     /// Answers queued requests that can no longer be placed, and tries to place the others.
     ///
     /// If capacity is short, many tasks are queued. Trying all of them with each batch of events
--- a/src/scheduler/retries.rs
+++ b/src/scheduler/retries.rs
@@ -74,6 +74,7 @@
 
     /// Marks the request as completed. Its open attempts count towards the load until they end.
     pub(super) fn complete(&mut self, id: RequestId) {
+        self.dequeue(id);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -34,7 +34,13 @@
 impl RecentAttempts {
     pub(super) fn record(&mut self, settings: &Settings, now: Micros) {
         let retention = settings.overload_window * RETAINED_WINDOWS;
-        self.sent_at.retain(|at| at + retention > now);
+        // Beyond the budget, further attempts make no difference.
+        let budget = settings.slow_start_budget.max(0.0) as usize;
+        let max_attempts = budget.saturating_add(1);
+        let is_expired = |at: &Micros| at + retention <= now;
+        while self.sent_at.front().is_some_and(is_expired) || self.sent_at.len() >= max_attempts {
+            self.sent_at.pop_front();
+        }
         self.sent_at.push_back(now);
     }
 
