--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::Scheduler;
 use super::backoff::BackoffScope;
+use super::load_estimate::HistoryLimits;
 use super::node::Node;
 use super::request::{Attempt, AttemptStart};
 use super::start_estimate::PendingStart;
@@ -61,12 +62,12 @@
         start: AttemptStart,
     ) -> Attempt {
         let now = self.now;
+        let limits = self.own_load_history_limits();
         let node = self
             .nodes
             .entry(node_id)
             .or_insert_with(|| Node::new(node_id));
-        node.load
-            .add_own(spec.resources(), now, self.settings.poll_interval);
+        node.load.add_own(spec.resources(), now, limits);
         node.programs.add_task(spec.service, now);
         if let AttemptStart::Dispatched { estimate, .. } = start {
             let sent_at = now;
@@ -79,16 +80,20 @@
         Attempt::new(&node.entry, now, start)
     }
 
+    fn own_load_history_limits(&self) -> HistoryLimits {
+        HistoryLimits::new(self.settings.poll_interval, self.nodes.len())
+    }
+
     /// Reverts the changes of [`Scheduler::open_attempt`] after the attempt has ended. The program
     /// stays in the cache of the node for some time.
     pub(super) fn release_attempt(&mut self, spec: &PlacementRequest, node_id: NodeId) {
         self.queue.note_capacity_change();
         self.services.remove(spec.service, node_id);
-        let (now, retention) = (self.now, self.settings.poll_interval);
+        let (now, limits) = (self.now, self.own_load_history_limits());
         let Some(node) = self.nodes.get_mut(&node_id) else {
             return;
         };
-        node.load.remove_own(spec.resources(), now, retention);
+        node.load.remove_own(spec.resources(), now, limits);
         node.rejected_size.clear();
         node.pending_starts.remove(&spec.id);
         node.unanswered.remove(&spec.id);
--- a/src/scheduler/load_estimate.rs
+++ b/src/scheduler/load_estimate.rs
@@ -16,9 +16,10 @@
 /// Divisor of the shortest latency objective that gives the assumed age of a load report on
 /// arrival. The actual age is unknown.
 const OBJECTIVES_PER_REPORT_AGE: Micros = 2;
-/// Maximum number of changes of own load that are remembered per node. If there are more, the load
-/// after the latest remembered one is only approximate.
-const MAX_OWN_HISTORY: usize = 256;
+/// Maximum number of changes of own load that are remembered, over all nodes.
+const MAX_REMEMBERED_CHANGES: usize = 65_536;
+/// Minimum number of changes of own load that may be remembered for one node.
+const MIN_REMEMBERED_CHANGES_PER_NODE: usize = 64;
 /// Lower bound for capacities that are used as divisors.
 pub(super) const MIN_CAPACITY: f64 = 1e-9;
 
@@ -36,6 +37,27 @@
     observed_at: Micros,
 }
 
+/// How many changes of own load are remembered for a node.
+#[derive(Clone, Copy)]
+pub(super) struct HistoryLimits {
+    /// Time for which changes are remembered.
+    retention: Micros,
+    /// Maximum number of changes. If there are more, the load after the latest remembered one is
+    /// only approximate.
+    max_changes: usize,
+}
+
+impl HistoryLimits {
+    /// Returns the limits for each of `nodes` nodes.
+    pub(super) fn new(retention: Micros, nodes: usize) -> HistoryLimits {
+        let even_share = MAX_REMEMBERED_CHANGES / nodes.max(1);
+        HistoryLimits {
+            retention,
+            max_changes: even_share.max(MIN_REMEMBERED_CHANGES_PER_NODE),
+        }
+    }
+}
+
 /// A change of own load, with the load before it.
 struct OwnLoadChange {
     changed_at: Micros,
@@ -64,14 +86,14 @@
         Resources::from_fn(used).at_least_zero()
     }
 
-    /// Adds an own task. History older than `retention` is dropped.
-    pub(super) fn add_own(&mut self, size: Resources, now: Micros, retention: Micros) {
-        self.set_own(self.own + size, now, retention);
+    /// Adds an own task.
+    pub(super) fn add_own(&mut self, size: Resources, now: Micros, limits: HistoryLimits) {
+        self.set_own(self.own + size, now, limits);
     }
 
-    /// Removes an own task. History older than `retention` is dropped.
-    pub(super) fn remove_own(&mut self, size: Resources, now: Micros, retention: Micros) {
-        self.set_own(self.own - size, now, retention);
+    /// Removes an own task.
+    pub(super) fn remove_own(&mut self, size: Resources, now: Micros, limits: HistoryLimits) {
+        self.set_own(self.own - size, now, limits);
     }
 
     /// Sets own load to zero when no own task is left, since any remainder is due to rounding.
@@ -138,14 +160,14 @@
         *unaccounted += UNACCOUNTED_LEARNING_RATE * (used - expected - *unaccounted);
     }
 
-    fn set_own(&mut self, own: Resources, now: Micros, retention: Micros) {
-        let is_expired = |change: &OwnLoadChange| change.changed_at + retention <= now;
+    fn set_own(&mut self, own: Resources, now: Micros, limits: HistoryLimits) {
+        let is_expired = |change: &OwnLoadChange| change.changed_at + limits.retention <= now;
         while self.own_history.front().is_some_and(is_expired) {
             self.own_history.pop_front();
         }
         // Of several changes in one batch, the first has the load before all of them.
         let is_same_batch = self.own_history.back().map(|change| change.changed_at) == Some(now);
-        if !is_same_batch && self.own_history.len() < MAX_OWN_HISTORY {
+        if !is_same_batch && self.own_history.len() < limits.max_changes {
             self.own_history.push_back(OwnLoadChange {
                 changed_at: now,
                 before: self.own,
