A stop answers all open requests before the process can be killed

Cause: serve/src/shutdown.rs: shut_down ended the process at the longest deadline plus 0.5 s after SIGTERM, whatever was open. SIGKILL comes 0.7 s after the longest deadline at the earliest. The record shows the end at 10.002 s, the request's time until 10.066 s, SIGKILL due at 10.2 s. Ruled out: the attempt's timeout and the scheduler's deadline, which were later.

Same cause nearby: requests that wait because all nodes are full; requests with twice the class's deadline; requests from after the window in which clients may still send, whose deadline may be later than SIGKILL; times that count from when a late loop handled the signal. Beside it: SIGHUP was not acted on during a stop.

What is still open then is rejected if no attempt was made, else failed. Times are earlier by the recent timer lag. SIGHUP is handled until the end.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -21,6 +21,7 @@
 //! | `connections` | connections to nodes, health checks, and reconnection |
 //! | `node_messages` | messages from nodes |
 //! | `ambiguity` | task ends that cannot be attributed to an attempt immediately |
+//! | `shutdown` | answers during a shutdown |
 //! | `timers` | timer expiry |
 //!
 //! State is kept in `request` (requests and attempts), `node_connections` (nodes and connections), `fair_queue`
@@ -49,6 +50,7 @@
 mod request_parsing;
 mod running_tasks;
 mod scheduling;
+mod shutdown;
 mod task_owners;
 mod timer_lag;
 mod timers;
@@ -98,6 +100,8 @@
     nodes: NodeConnections,
     timers: Timers<Timer>,
     timer_lag: TimerLag,
+    /// During a shutdown, the time by which requests must be answered even if their deadline is later.
+    answer_limit: Option<Micros>,
     counters: Counters,
     outputs: Vec<Output>,
 }
@@ -131,6 +135,7 @@
             nodes: NodeConnections::new(seed),
             timers: Timers::default(),
             timer_lag: TimerLag::new(longest_deadline),
+            answer_limit: None,
             counters: Counters::default(),
             outputs: Vec::new(),
         }
@@ -151,6 +156,8 @@
             Input::NodeConnected(connection) => self.on_node_connected(connection),
             Input::NodeMessage(connection, message) => self.on_node_message(connection, &message),
             Input::NodeDisconnected(connection, end) => self.on_node_disconnected(connection, end),
+            Input::LimitAnswers(answer_by) => self.on_limit_answers(answer_by),
+            Input::AnswerAll => self.on_answer_all(),
             Input::Tick(until) => self.on_tick(until),
         }
         self.run_batch();
@@ -183,6 +190,11 @@
         !self.queue.is_empty()
     }
 
+    /// The maximum delay with which timers have fired recently, in microseconds.
+    pub fn timer_lag(&self) -> Micros {
+        self.timer_lag.max()
+    }
+
     /// Number of running tasks.
     pub fn running_tasks(&self) -> usize {
         self.nodes.running_tasks()
--- a/crates/platform/src/engine/admission.rs
+++ b/crates/platform/src/engine/admission.rs
@@ -95,7 +95,7 @@
         self.requests.open += 1;
         self.counters.admitted += 1;
         // The deadline counts from the receipt of the request, not from its admission.
-        let deadline = received_at.saturating_add(placement.deadline_in);
+        let deadline = self.limited_deadline(received_at, placement.deadline_in);
         let answer_by = self.answer_by(received_at, deadline);
         placement.deadline_in = answer_by.saturating_sub(self.now);
         // Clients normally cancel requests themselves at the deadline. The timer covers clients that are unreachable.
@@ -126,7 +126,7 @@
         self.on_owner_active(client);
     }
 
-    fn reject(&mut self, client: ClientId, wire_id: u64) {
+    pub(super) fn reject(&mut self, client: ClientId, wire_id: u64) {
         self.send_to_client(client, &Message::release(wire_id, cause::TURNED_AWAY));
     }
 }
--- a/crates/platform/src/engine/clients.rs
+++ b/crates/platform/src/engine/clients.rs
@@ -51,7 +51,7 @@
             return;
         }
         let timeout = request_parsing::client_timeout(&message).unwrap_or(0);
-        let deadline = self.now.saturating_add(timeout);
+        let deadline = self.limited_deadline(self.now, timeout);
         let answer_by = self.answer_by(self.now, deadline);
         self.queue.push(client, self.now, answer_by, message);
     }
--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -53,6 +53,10 @@
     NodeMessage(NodeConnectionId, Message),
     /// A connection to a node was closed, or could not be established.
     NodeDisconnected(NodeConnectionId, Disconnect),
+    /// A shutdown has begun: requests received from now on must be answered by this time.
+    LimitAnswers(Micros),
+    /// The process is about to end: all open requests must be answered now.
+    AnswerAll,
     /// Everything that arrived before this time has been handled.
     ///
     /// Invariant: timers fire on this input only. A late event loop reads the clock before it reads the messages that
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -19,4 +19,5 @@
 mod random_answers;
 mod random_inputs;
 mod random_node_reports;
+mod shutdown;
 mod timing;
--- a/crates/scale/src/hollow_scheduler.rs
+++ b/crates/scale/src/hollow_scheduler.rs
@@ -204,6 +204,8 @@
             | Input::ClientCount(_)
             | Input::NodeConnected(_)
             | Input::NodeDisconnected(..)
+            | Input::LimitAnswers(_)
+            | Input::AnswerAll
             | Input::Tick(_) => {}
         }
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -65,8 +65,15 @@
             () = received(&mut signals.reload) => reload(&server, path, environment),
         }
     }
-    shutdown::shut_down(&server, longest_deadline).await;
-    Ok(())
+    let shutdown = shutdown::shut_down(&server, longest_deadline);
+    tokio::pin!(shutdown);
+    loop {
+        tokio::select! {
+            () = &mut shutdown => return Ok(()),
+            // The node list must not stand still while requests are still placed.
+            () = received(&mut signals.reload) => reload(&server, path, environment),
+        }
+    }
 }
 
 struct Signals {
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -214,6 +214,11 @@
         self.engine.borrow().open_requests()
     }
 
+    /// The maximum delay with which timers have fired recently.
+    pub(crate) fn timer_lag(&self) -> Duration {
+        Duration::from_micros(self.engine.borrow().timer_lag())
+    }
+
     /// The engine's counters.
     pub(crate) fn counters(&self) -> Counters {
         self.engine.borrow().counters()
@@ -221,9 +226,14 @@
 
     /// Whether all send buffers are empty.
     pub(crate) fn is_flushed(&self) -> bool {
+        let is_empty = |connection: &Rc<Connection>| connection.send_buffer.is_empty();
+        self.is_flushed_to_clients() && self.node_connections.borrow().values().all(is_empty)
+    }
+
+    /// Whether the send buffers of all client connections are empty.
+    pub(crate) fn is_flushed_to_clients(&self) -> bool {
         let is_empty = |connection: &Rc<Connection>| connection.send_buffer.is_empty();
         self.clients.borrow().values().all(is_empty)
-            && self.node_connections.borrow().values().all(is_empty)
     }
 }
 
