Notifications for any owner are found without a scan of all kept ones

Since notifications that went to another client are kept for their own, each request looked through up to as many as tasks may run to find those that were sent to nobody.

--- a/crates/platform/src/engine/undelivered.rs
+++ b/crates/platform/src/engine/undelivered.rs
@@ -28,6 +28,8 @@
     entries: BTreeMap<u64, Entry>,
     /// Wire ids in the order in which the entries were added, and thus expire.
     by_age: BTreeMap<u64, u64>,
+    /// Wire ids of the entries that were sent to no client, in the order in which they were added.
+    unsent: BTreeMap<u64, u64>,
     by_task: BTreeSet<(TaskKey, u64)>,
     last_sequence: u64,
 }
@@ -47,6 +49,9 @@
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         self.by_age.insert(sequence, wire_id);
+        if recipient == Recipient::AnyOwner {
+            self.unsent.insert(sequence, wire_id);
+        }
         self.by_task.insert((notification.task, wire_id));
         let entry = Entry {
             notification,
@@ -78,12 +83,17 @@
         client: ClientId,
         connection: ClientId,
     ) -> Vec<Notification> {
-        let is_of_client = |entry: &Entry| entry.notification.client == client;
+        let is_of_client = |wire_id: &u64| {
+            let entry = self.entries.get(wire_id);
+            entry.is_some_and(|entry| entry.notification.client == client)
+        };
+        let matching: Vec<u64> = self.by_age.values().copied().filter(is_of_client).collect();
         let already_sent = Recipient::OwnClient {
             sent_on: Some(connection),
         };
-        let taken = self.take(is_of_client).into_iter();
-        taken
+        matching
+            .into_iter()
+            .filter_map(|wire_id| self.remove_entry(wire_id))
             .filter(|entry| entry.recipient != already_sent)
             .map(|entry| entry.notification)
             .collect()
@@ -91,8 +101,8 @@
 
     /// Removes and returns the notifications that may be sent to any client that owns tasks.
     pub(super) fn take_for_any_owner(&mut self) -> Vec<Notification> {
-        let taken = self.take(|entry| entry.recipient == Recipient::AnyOwner);
-        taken.into_iter().map(|entry| entry.notification).collect()
+        let unsent = std::mem::take(&mut self.unsent).into_values();
+        unsent.filter_map(|wire_id| self.remove(wire_id)).collect()
     }
 
     /// Removes the notifications that have expired.
@@ -113,23 +123,10 @@
         }
     }
 
-    /// Removes and returns the matching entries, oldest first.
-    fn take(&mut self, is_match: impl Fn(&Entry) -> bool) -> Vec<Entry> {
-        let matching: Vec<u64> = self
-            .by_age
-            .values()
-            .filter(|wire_id| self.entries.get(wire_id).is_some_and(&is_match))
-            .copied()
-            .collect();
-        matching
-            .into_iter()
-            .filter_map(|wire_id| self.remove_entry(wire_id))
-            .collect()
-    }
-
     fn remove_entry(&mut self, wire_id: u64) -> Option<Entry> {
         let entry = self.entries.remove(&wire_id)?;
         self.by_age.remove(&entry.sequence);
+        self.unsent.remove(&entry.sequence);
         self.by_task.remove(&(entry.notification.task, wire_id));
         Some(entry)
     }
