--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -20,6 +20,8 @@
 import resource
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -148,7 +150,12 @@
         self.writer.close()
 
     def reset(self):
+        if not self.is_open:
+            return
         self.is_open = False
+        # Without a time to linger, closing the socket resets the connection.
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
 
@@ -473,7 +480,6 @@
 
 
 def free_port():
-    import socket
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return probe.getsockname()[1]
