Review stand-ins: the controller ends with a script that is ended from outside

Reason: a script must end all processes that it started, and must say "broken" for a broken rule alone. Change: signals that end a script end its controller; any fault of the script itself exits with 2.

--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -417,6 +417,7 @@
         self.folder = tempfile.mkdtemp(prefix="peppercove-review-")
         self.config = os.path.join(self.folder, "config.json")
         self.log = open(os.path.join(self.folder, "log"), "wb")
+        controllers.append(self)
 
     def write_config(self, journal_port=None):
         events = self.journal.events
@@ -492,6 +493,14 @@
 
 
 futures = set()
+controllers = []
+
+
+def end_early(number, _frame):
+    """Ends the controller when the script is ended from outside."""
+    for controller in controllers:
+        controller.remove()
+    os._exit(NOT_RUN)
 
 
 def keep(future):
@@ -509,13 +518,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if trouble else 'no'}")
 
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_early)
+
     async def run():
         return await asyncio.wait_for(case(record, trouble), time_limit)
 
     try:
         held = asyncio.run(run())
         code = HELD if held else BROKEN
-    except (NotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the script itself says nothing about the rule.
         record.say(f"the case could not run: {error!r}")
         code = NOT_RUN
     record.say({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "not run"}[code])
