Ends of tasks whose handover was dropped are notified

Cause: at the limit on running tasks unconfirmed handovers are dropped, and the end of a dropped task has the id of no request. Change: an end under the id of no request goes to every client that may own untracked tasks, and is kept for clients that come back and for handovers that are read later. Recently answered ids are remembered, so that a late report is not taken for such an end. Connections without a confirmed task yield first. It works without any guess at who is right: the node's own report is what counts.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -18,6 +18,7 @@
 //! | `attempts` | dispatch, cancellation and end of attempts |
 //! | `running_tasks` | tasks from placement to completion |
 //! | `notifications` | notifying clients that their tasks have ended |
+//! | `untracked_tasks` | ends of tasks that are not tracked |
 //! | `connections` | connections to nodes, health checks, and reconnection |
 //! | `node_messages` | messages from nodes |
 //! | `ambiguity` | task ends that cannot be attributed to an attempt immediately |
@@ -25,8 +26,8 @@
 //! | `timers` | timer expiry |
 //!
 //! State is kept in `request` (requests and attempts), `node_connections` (nodes and connections), `fair_queue`
-//! (requests waiting for admission),
-//! `unconfirmed_handovers`, `task_owners`, `undelivered`, `completion_backlog` and `timer_lag`. `attempt_matching` attributes messages to attempts, and
+//! (requests waiting for admission), `unconfirmed_handovers`, `task_owners`, `undelivered`, `untracked_ends`,
+//! `recent_ids`, `completion_backlog` and `timer_lag`. `attempt_matching` attributes messages to attempts, and
 //! `request_parsing` parses message parameters.
 
 mod admission;
@@ -46,6 +47,7 @@
 mod node_list;
 mod node_messages;
 mod notifications;
+mod recent_ids;
 mod request;
 mod request_parsing;
 mod running_tasks;
@@ -56,6 +58,8 @@
 mod timers;
 mod unconfirmed_handovers;
 mod undelivered;
+mod untracked_ends;
+mod untracked_tasks;
 
 pub use bounds::Bounds;
 pub use counters::Counters;
@@ -75,6 +79,7 @@
 use timers::Timer;
 use unconfirmed_handovers::UnconfirmedHandovers;
 use undelivered::UndeliveredNotifications;
+use untracked_ends::UntrackedEnds;
 
 const MICROS_PER_MILLI: Micros = 1000;
 
@@ -97,6 +102,7 @@
     completion_backlog: CompletionBacklog,
     task_owners: TaskOwners,
     undelivered: UndeliveredNotifications,
+    untracked_ends: UntrackedEnds,
     nodes: NodeConnections,
     timers: Timers<Timer>,
     timer_lag: TimerLag,
@@ -125,13 +131,14 @@
             now: 0,
             last_batch_at: None,
             events: Vec::new(),
-            requests: RequestTable::default(),
+            requests: RequestTable::new(bounds.running_tasks),
             clients: BTreeMap::new(),
             queue: FairQueue::default(),
             unconfirmed_handovers: UnconfirmedHandovers::default(),
             completion_backlog: CompletionBacklog::default(),
             task_owners: TaskOwners::default(),
             undelivered: UndeliveredNotifications::default(),
+            untracked_ends: UntrackedEnds::default(),
             nodes: NodeConnections::new(seed),
             timers: Timers::default(),
             timer_lag: TimerLag::new(longest_deadline),
--- a/crates/platform/src/engine/answers.rs
+++ b/crates/platform/src/engine/answers.rs
@@ -28,6 +28,7 @@
         }
         self.events.push(Event::RequestCancelled(request));
         self.close_request(request);
+        self.requests.remember_withdrawn(request);
     }
 
     /// Sends the scheduler's final answer. Returns false if the request is no longer open.
@@ -39,6 +40,7 @@
         let client = request.client;
         self.send_to_client(client, &message);
         self.close_request(id);
+        self.requests.remember_ended(id);
         true
     }
 
--- a/crates/platform/src/engine/clients.rs
+++ b/crates/platform/src/engine/clients.rs
@@ -17,6 +17,10 @@
     pub(super) has_sent_request: bool,
     /// Whether the client has shown on this connection that it owns tasks.
     pub(super) owns_tasks: bool,
+    /// Whether a node has sent a message about a task of this connection.
+    pub(super) has_confirmed_tasks: bool,
+    /// Whether a handover on this connection is not tracked.
+    pub(super) has_untracked_tasks: bool,
     /// Notifications sent on this connection recently.
     pub(super) recent_notifications: VecDeque<SentNotification>,
 }
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -19,6 +19,20 @@
         wire_id: u64,
         request: PlacementRequest,
         node_name: &str,
+    ) {
+        self.clients.entry(client).or_default();
+        self.track_handover(client, wire_id, request, node_name);
+        if let Some(node) = self.nodes.find_by_name(node_name) {
+            self.apply_untracked_end(client, wire_id, node);
+        }
+    }
+
+    fn track_handover(
+        &mut self,
+        client: ClientId,
+        wire_id: u64,
+        request: PlacementRequest,
+        node_name: &str,
     ) {
         let node = self.nodes.find_by_name(node_name);
         if let Some((_, existing)) = self.requests.find(wire_id) {
@@ -44,24 +58,27 @@
                 self.on_owner_returned(ended.client, client, ended.evidence);
             }
         } else {
-            self.counters.handovers_dropped += 1;
+            self.on_handover_dropped(client);
         }
     }
 
     /// Whether a further handed-over task can be tracked.
     ///
-    /// At the limit, unconfirmed handovers of the client connection with the most of them are dropped, unless the new
-    /// one would have as many. A client that hands over tasks which no node runs therefore cannot keep the controller
-    /// from tracking the tasks of other clients.
+    /// At the limit, unconfirmed handovers of other client connections are dropped: those of connections without any
+    /// confirmed task first, and among them those of the connection with the most handovers. Clients that hand over
+    /// tasks which no node runs therefore cannot keep the controller from tracking the tasks of other clients.
     fn make_room_for_handover(&mut self, client: ClientId, is_node_known: bool) -> bool {
         let cost = 1 + if is_node_known { 0 } else { UNLISTED_NODE_COST };
-        let own = self.unconfirmed_handovers.len_of(client);
+        let has_confirmed_tasks = self.has_confirmed_tasks(client);
         while self.handover_cost() + cost > self.bounds.running_tasks {
             let limit = self.bounds.completions_per_batch;
             if self.completion_backlog.is_full_for(client, limit) {
                 return false;
             }
-            let Some(dropped) = self.unconfirmed_handovers.last_of_largest(own + 1) else {
+            let yielding = self
+                .unconfirmed_handovers
+                .first_to_yield(client, has_confirmed_tasks);
+            let Some(dropped) = yielding else {
                 return false;
             };
             self.completion_backlog.add(client);
@@ -70,20 +87,27 @@
         true
     }
 
+    fn has_confirmed_tasks(&self, client: ClientId) -> bool {
+        let client = self.clients.get(&client);
+        client.is_some_and(|client| client.has_confirmed_tasks)
+    }
+
     /// The memory used for running tasks and for the unlisted nodes on which they run, in tasks.
     fn handover_cost(&self) -> usize {
         self.nodes.running_tasks() + self.nodes.unlisted_nodes() * UNLISTED_NODE_COST
     }
 
-    /// Stops tracking a task that no node has confirmed. Nothing is sent to its client: it was notified of nothing else
-    /// when a handover is not tracked in the first place.
+    /// Stops tracking a task that no node has confirmed.
     fn drop_handover(&mut self, id: RequestId) {
-        self.counters.handovers_dropped += 1;
+        let client = self.requests.get(id).map(|request| request.client);
         let attempt = AttemptId {
             request: id,
             number: 0,
         };
-        self.complete_task(attempt, AttemptOutcome::Cancelled.into());
+        self.untrack_task(attempt, AttemptOutcome::Cancelled.into());
+        if let Some(client) = client {
+            self.on_handover_dropped(client);
+        }
     }
 
     /// Records that a node has sent a message about a task, which shows that the task exists.
@@ -93,10 +117,20 @@
             self.unconfirmed_handovers.remove(client, id);
             if self.clients.contains_key(&client) {
                 self.on_owner_active(client);
+                self.on_task_confirmed(client);
             }
         }
     }
 
+    /// Records that a node has sent a message about a task of this client connection.
+    pub(super) fn on_task_confirmed(&mut self, client: ClientId) {
+        if let Some(state) = self.clients.get_mut(&client)
+            && !std::mem::replace(&mut state.has_confirmed_tasks, true)
+        {
+            self.unconfirmed_handovers.set_has_confirmed_tasks(client);
+        }
+    }
+
     /// Adopts a running task that this controller does not track yet.
     fn adopt_task(
         &mut self,
@@ -130,7 +164,9 @@
             ambiguous_end: None,
             pending_cancel: None,
         });
-        self.unconfirmed_handovers.insert(client, id);
+        let has_confirmed_tasks = self.has_confirmed_tasks(client);
+        self.unconfirmed_handovers
+            .insert(client, id, has_confirmed_tasks);
         self.events.push(Event::RunningTask { request, node });
         self.track_running_task(node, id, task);
     }
--- a/crates/platform/src/engine/node_messages.rs
+++ b/crates/platform/src/engine/node_messages.rs
@@ -35,6 +35,7 @@
     ) {
         let Some((id, request)) = self.requests.find(message.id) else {
             self.counters.unmatched += 1;
+            self.on_untracked_message(node, message);
             return;
         };
         let attempt = |number| AttemptId {
--- a/crates/platform/src/engine/notifications.rs
+++ b/crates/platform/src/engine/notifications.rs
@@ -141,7 +141,10 @@
     /// Records that a client owns tasks, because it has sent a valid request or referred to a task. Sends it the
     /// notifications that were not sent to any client.
     pub(super) fn on_owner_active(&mut self, connection: ClientId) {
-        self.clients.entry(connection).or_default().owns_tasks = true;
+        let client = self.clients.entry(connection).or_default();
+        if !std::mem::replace(&mut client.owns_tasks, true) {
+            self.notify_untracked_ends(connection);
+        }
         self.undelivered.remove_expired(self.now);
         for notification in self.undelivered.take_for_any_owner() {
             self.send_notification(connection, notification.clone());
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -1,5 +1,6 @@
 //! State of requests and their attempts.
 
+use super::recent_ids::RecentIds;
 use super::{ClientId, NodeConnectionId};
 use crate::wire::Message;
 use peppercove::{AttemptOutcome, EndReason, LoadReport, Micros, NodeId, RequestId, TaskKey};
@@ -52,6 +53,11 @@
 }
 
 impl AttemptState {
+    /// Whether the node may still send messages about the attempt.
+    fn may_be_reported(self) -> bool {
+        matches!(self, AttemptState::Sent { .. } | AttemptState::Unresolved)
+    }
+
     /// Whether the attempt is waiting for an answer.
     pub(super) fn is_open(self) -> bool {
         matches!(self, AttemptState::Queued | AttemptState::Sent { .. })
@@ -178,24 +184,30 @@
     by_wire_id: BTreeMap<u64, RequestId>,
     /// Completed requests, to be removed once the scheduler has been informed.
     completed: Vec<RequestId>,
+    /// Wire ids of answered requests and of ended tasks, about which nodes may still send messages.
+    ended: RecentIds,
+    /// Wire ids of requests that their client withdrew, about which nodes may still send messages. Kept separately,
+    /// since a client can withdraw requests much faster than tasks end.
+    withdrawn: RecentIds,
     next_id: u64,
     /// Number of admitted requests without an answer.
     pub(super) open: usize,
 }
 
-impl Default for RequestTable {
-    fn default() -> RequestTable {
+impl RequestTable {
+    /// Creates an empty table that remembers this many ids of completed requests.
+    pub(super) fn new(remembered_ids: usize) -> RequestTable {
         RequestTable {
             requests: BTreeMap::new(),
             by_wire_id: BTreeMap::new(),
             completed: Vec::new(),
+            ended: RecentIds::new(remembered_ids),
+            withdrawn: RecentIds::new(remembered_ids),
             next_id: 1,
             open: 0,
         }
     }
-}
 
-impl RequestTable {
     /// The id that the next inserted request gets.
     pub(super) fn next_id(&self) -> RequestId {
         RequestId(self.next_id)
@@ -249,6 +261,39 @@
         self.completed.push(id);
     }
 
+    /// Remembers the ids of a request that was answered or whose task has ended.
+    pub(super) fn remember_ended(&mut self, id: RequestId) {
+        for wire_id in self.reportable_ids(id) {
+            self.ended.insert(wire_id);
+        }
+    }
+
+    /// Remembers the ids of a request that its client has withdrawn.
+    pub(super) fn remember_withdrawn(&mut self, id: RequestId) {
+        for wire_id in self.reportable_ids(id) {
+            self.withdrawn.insert(wire_id);
+        }
+    }
+
+    /// Whether a request with this wire id was completed recently and nodes may still send messages about it.
+    pub(super) fn is_recent(&self, wire_id: u64) -> bool {
+        self.ended.contains(wire_id) || self.withdrawn.contains(wire_id)
+    }
+
+    /// The wire ids of a completed request if a node may still send messages about it: an attempt reached a node and was
+    /// not answered, or the task ran.
+    fn reportable_ids(&self, id: RequestId) -> Vec<u64> {
+        let request = self.requests.get(&id);
+        let Some(request) = request.filter(|request| {
+            let mut attempts = request.attempts.iter();
+            request.placed_at > 0 || attempts.any(|attempt| attempt.state.may_be_reported())
+        }) else {
+            return Vec::new();
+        };
+        let ids = [Some(request.wire_id), request.previous_wire_id];
+        ids.into_iter().flatten().collect()
+    }
+
     /// Removes the completed requests.
     pub(super) fn remove_completed(&mut self) {
         for id in std::mem::take(&mut self.completed) {
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -28,6 +28,7 @@
         self.cancel_timer(deadline_timer);
         self.cancel_timer(timeout_timer);
         self.remove_open_request(client, id.request);
+        self.on_task_confirmed(client);
         self.events.push(Event::Placed {
             request: id.request,
             attempt: id.number,
@@ -48,6 +49,12 @@
 
     /// Completes a request whose task has ended, and reports the end to the scheduler.
     pub(super) fn complete_task(&mut self, id: AttemptId, end: AttemptEnd) {
+        self.untrack_task(id, end);
+        self.requests.remember_ended(id.request);
+    }
+
+    /// Stops tracking a running task, and reports its end to the scheduler.
+    pub(super) fn untrack_task(&mut self, id: AttemptId, end: AttemptEnd) {
         let Some(request) = self.requests.get_mut(id.request) else {
             return;
         };
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -21,3 +21,4 @@
 mod random_node_reports;
 mod shutdown;
 mod timing;
+mod untracked_tasks;
