Attempts that wait for a connection or socket are not sent after their window

Cause: the window is checked when the scheduler decides, and the attempt then waits for its connection without a limit but the deadline. Change: a dispatch says by when it must be sent; the engine checks it with a timer and at the sending, and closes a connection whose full socket has not taken the attempt by then, or has not begun it when its node drains. An attempt decided in the batch of a drain does not wait for a connection, and one that a late loop finds timed out is not sent. Not mended, suspected: the queue of the DRMAA controller.

--- a/crates/cli/src/commands/bench/node_subset/simulation.rs
+++ b/crates/cli/src/commands/bench/node_subset/simulation.rs
@@ -161,6 +161,8 @@
                 request,
                 node,
                 timeout,
+                // The simulation sends at once.
+                send_by: _,
             } => {
                 self.dispatch(scheduler, request, node, timeout);
             }
--- a/crates/core/src/engine/scheduler_actions.rs
+++ b/crates/core/src/engine/scheduler_actions.rs
@@ -14,6 +14,8 @@
                 request,
                 node,
                 timeout,
+                // Attempts are sent over established connections only.
+                send_by: _,
             } => self.dispatch(request, node, timeout),
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject {
--- a/crates/core/tests/core/harness.rs
+++ b/crates/core/tests/core/harness.rs
@@ -200,6 +200,7 @@
         request: RequestId(request),
         node: node(i),
         timeout,
+        send_by: None,
     }
 }
 
--- a/crates/fleet/tests/beyond_subset.rs
+++ b/crates/fleet/tests/beyond_subset.rs
@@ -283,6 +283,7 @@
         request: RequestId(1),
         node: NodeId(0),
         timeout: None,
+        send_by: None,
     };
     let inner = RecordingScheduler {
         answer: vec![dispatch],
--- a/crates/fleet/tests/common/cluster.rs
+++ b/crates/fleet/tests/common/cluster.rs
@@ -264,6 +264,7 @@
                     request,
                     node,
                     timeout,
+                    send_by: _,
                 } => {
                     self.on_dispatch(index, request, node, timeout);
                 }
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -8,22 +8,41 @@
 use peppercove_core::Decide;
 use peppercove_core::request_state::RequestState;
 
+/// The time limits that the scheduler sets for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptLimits {
+    /// Time after which the attempt times out; `None` means the deadline of the client.
+    pub(super) timeout: Option<Micros>,
+    /// The latest time at which the attempt may be sent; `None` means until it times out.
+    pub(super) send_by: Option<Micros>,
+}
+
 impl<D: Decide> PlatformEngine<D> {
     /// Executes a dispatch of the scheduler. Each dispatch gets an attempt number and ends exactly once, even if
     /// nothing can be sent.
-    pub(super) fn dispatch(&mut self, id: RequestId, node: NodeId, timeout: Option<Micros>) {
+    pub(super) fn dispatch(&mut self, id: RequestId, node: NodeId, limits: AttemptLimits) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
         let answer_by = self.answer_by(request.received_at, request.deadline);
-        let expires_at = timeout.map_or(answer_by, |timeout| {
+        let expires_at = limits.timeout.map_or(answer_by, |timeout| {
             self.now.saturating_add(timeout).min(answer_by)
         });
+        let send_by = limits.send_by.unwrap_or(expires_at).min(expires_at);
         let is_final = !request.state.is_open();
         let can_be_sent = request.state == RequestState::Pending
             && request.attempts.len() < self.settings.max_attempts as usize
-            && expires_at > self.now;
-        let Some(attempt) = self.add_attempt(id, node, expires_at) else {
+            && send_by > self.now;
+        let attempt = Attempt {
+            node,
+            connection: NodeConnectionId(0),
+            state: AttemptState::Resolved,
+            expires_at,
+            send_by,
+            timeout_timer: None,
+            send_timer: None,
+        };
+        let Some(attempt) = self.add_attempt(id, attempt) else {
             return;
         };
         if !can_be_sent {
@@ -40,24 +59,17 @@
         self.start_monitoring(node);
         if self.nodes.is_connected(connection) {
             self.send_queued(connection);
+        } else if !self.nodes.accepts_tasks(node) {
+            // Race: the list has changed after the scheduler's decision. The node may still be sent what is under way, but
+            // not what waits for a connection.
+            self.abandon_attempt(attempt, AttemptOutcome::Unreachable, false);
         }
     }
 
-    fn add_attempt(
-        &mut self,
-        id: RequestId,
-        node: NodeId,
-        expires_at: Micros,
-    ) -> Option<AttemptId> {
+    fn add_attempt(&mut self, id: RequestId, attempt: Attempt) -> Option<AttemptId> {
         let request = self.requests.get_mut(id)?;
         let number = request.attempts.len() as u16;
-        request.attempts.push(Attempt {
-            node,
-            connection: NodeConnectionId(0),
-            state: AttemptState::Resolved,
-            expires_at,
-            timeout_timer: None,
-        });
+        request.attempts.push(attempt);
         Some(AttemptId {
             request: id,
             number,
@@ -90,30 +102,91 @@
         attempt.state = AttemptState::Queued;
         let timeout = Timer::AttemptTimeout(id);
         attempt.timeout_timer = Some(self.timers.schedule(attempt.expires_at, timeout));
+        if attempt.send_by < attempt.expires_at {
+            let send_by = Timer::SendBy(id);
+            attempt.send_timer = Some(self.timers.schedule(attempt.send_by, send_by));
+        }
         self.nodes.queue_attempt(connection, id);
     }
 
     /// Sends the attempts that were waiting for this connection.
     pub(super) fn send_queued(&mut self, connection: NodeConnectionId) {
         for id in self.nodes.take_queued(connection) {
-            let Some(request) = self.requests.get_mut(id.request) else {
-                continue;
-            };
-            let Some(payload) = &request.payload else {
-                continue;
-            };
-            let Some(attempt) = request.attempts.get_mut(usize::from(id.number)) else {
-                continue;
-            };
-            if attempt.state != AttemptState::Queued {
-                continue;
+            self.send_attempt(connection, id);
+        }
+    }
+
+    /// Sends a queued attempt, unless it may no longer be sent.
+    fn send_attempt(&mut self, connection: NodeConnectionId, id: AttemptId) {
+        let Some(request) = self.requests.get_mut(id.request) else {
+            return;
+        };
+        let Some(payload) = &request.payload else {
+            return;
+        };
+        let Some(attempt) = request.attempts.get_mut(usize::from(id.number)) else {
+            return;
+        };
+        if attempt.state != AttemptState::Queued {
+            return;
+        }
+        if attempt.send_by <= self.now {
+            // Race: the connection was established before the timer fired.
+            self.abandon_attempt(id, AttemptOutcome::Unreachable, false);
+            return;
+        }
+        let time_left = attempt.expires_at.saturating_sub(self.now);
+        let frame = attempt_message(request.wire_id, payload, time_left).encode();
+        let offset = self.nodes.record_sent(connection, frame.len());
+        let end = offset + frame.len() as u64;
+        attempt.state = AttemptState::Sent { offset, end };
+        self.nodes.add_sent_attempt(connection, id);
+        self.outputs.push(Output::SendToNode(connection, frame));
+    }
+
+    /// Handles the end of the time within which an attempt may be sent.
+    ///
+    /// Invariant: an attempt that waits for its connection, or for a full socket, is not sent any more afterwards.
+    pub(super) fn on_send_limit(&mut self, id: AttemptId) {
+        let request = self.requests.get(id.request);
+        let Some(attempt) = request.and_then(|request| request.attempt(id.number)) else {
+            return;
+        };
+        match attempt.state {
+            AttemptState::Queued => {
+                self.abandon_attempt(id, AttemptOutcome::Unreachable, false);
+            }
+            AttemptState::Sent { offset: _, end } => {
+                let unless_written = end;
+                self.outputs.push(Output::CloseUnlessWritten(
+                    attempt.connection,
+                    unless_written,
+                ));
+            }
+            AttemptState::Resolved | AttemptState::Unresolved => {}
+        }
+    }
+
+    /// Prevents the attempts at a node that accepts no new tasks from being sent from now on.
+    ///
+    /// Queued attempts would be sent as soon as their connection is established, and sent ones may wait for a full
+    /// socket.
+    pub(super) fn stop_sending_to(&mut self, node: NodeId) {
+        for attempt in self.nodes.queued_for(node) {
+            self.abandon_attempt(attempt, AttemptOutcome::Unreachable, false);
+        }
+        for id in self.nodes.sent_to(node) {
+            let request = self.requests.get(id.request);
+            let attempt = request.and_then(|request| request.attempt(id.number));
+            if let Some(attempt) = attempt
+                && let AttemptState::Sent { offset, end: _ } = attempt.state
+            {
+                let first_byte_end = offset + 1;
+                self.outputs.push(Output::CloseUnlessWritten(
+                    attempt.connection,
+                    first_byte_end,
+                ));
             }
-            let time_left = attempt.expires_at.saturating_sub(self.now);
-            let frame = attempt_message(request.wire_id, payload, time_left).encode();
-            let offset = self.nodes.record_sent(connection, frame.len());
-            attempt.state = AttemptState::Sent { offset };
-            self.nodes.add_sent_attempt(connection, id);
-            self.outputs.push(Output::SendToNode(connection, frame));
         }
     }
 
@@ -170,12 +243,14 @@
         };
         attempt.state = state;
         let timeout_timer = attempt.timeout_timer.take();
+        let send_timer = attempt.send_timer.take();
         self.nodes.remove_attempt(attempt.connection, id);
         if !is_final {
             let transition = request.state.transition_to(RequestState::Pending);
             debug_assert!(transition.is_ok());
         }
         self.cancel_timer(timeout_timer);
+        self.cancel_timer(send_timer);
     }
 
     /// Reports the end of an attempt to the scheduler.
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -76,7 +76,7 @@
         };
         let may_have_run = match attempt.state {
             AttemptState::Queued => false,
-            AttemptState::Sent { offset } => may_have_reached_node(offset, disconnect),
+            AttemptState::Sent { offset, end: _ } => may_have_reached_node(offset, disconnect),
             AttemptState::Resolved | AttemptState::Unresolved => return,
         };
         let (outcome, state) = if may_have_run {
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -146,7 +146,9 @@
             connection: NodeConnectionId(0),
             state: AttemptState::Resolved,
             expires_at: self.now,
+            send_by: self.now,
             timeout_timer: None,
+            send_timer: None,
         };
         self.requests.insert(Request {
             wire_id,
--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -80,6 +80,8 @@
     Cancel(NodeConnectionId, Bytes),
     /// Close a connection to a node.
     Close(NodeConnectionId),
+    /// Close a connection to a node, unless the operating system has accepted at least this many bytes sent on it.
+    CloseUnlessWritten(NodeConnectionId, u64),
     /// Call the journal service again.
     WatchEndpoints,
     /// Write a log line of the scheduler.
--- a/crates/platform/src/engine/node_connections/connection.rs
+++ b/crates/platform/src/engine/node_connections/connection.rs
@@ -2,7 +2,7 @@
 
 use super::{NodeConnectionId, NodeConnections};
 use crate::engine::request::{AttemptId, HealthCheck};
-use peppercove::{Micros, NodeId, NodeStatus, RequestId};
+use peppercove::{Micros, NodeId, RequestId};
 use std::collections::BTreeSet;
 
 /// One connection to a node.
@@ -159,21 +159,26 @@
             .unwrap_or_default()
     }
 
-    /// Returns the attempts queued for connections to the node, if the node accepts no new tasks.
-    pub(in crate::engine) fn queued_for_unready_node(&self, node: NodeId) -> Vec<AttemptId> {
-        let Some(node) = self.nodes.get(&node) else {
-            return Vec::new();
-        };
-        if node.entry.state == NodeStatus::Ready {
-            return Vec::new();
-        }
-        let connections = node.connections.iter();
-        connections
-            .filter_map(|id| self.connections.get(id))
+    /// The attempts queued for connections to the node.
+    pub(in crate::engine) fn queued_for(&self, node: NodeId) -> Vec<AttemptId> {
+        self.connections_to(node)
             .flat_map(|connection| connection.queued_attempts.iter().copied())
             .collect()
     }
 
+    /// The attempts sent on connections to the node that wait for an answer.
+    pub(in crate::engine) fn sent_to(&self, node: NodeId) -> Vec<AttemptId> {
+        self.connections_to(node)
+            .flat_map(|connection| connection.sent_attempts.iter().copied())
+            .collect()
+    }
+
+    fn connections_to(&self, node: NodeId) -> impl Iterator<Item = &Connection> {
+        let node = self.nodes.get(&node);
+        let connections = node.into_iter().flat_map(|node| &node.connections);
+        connections.filter_map(|id| self.connections.get(id))
+    }
+
     /// Records that an attempt was sent on a connection.
     pub(in crate::engine) fn add_sent_attempt(&mut self, id: NodeConnectionId, attempt: AttemptId) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/platform/src/engine/node_connections/listed_nodes.rs
+++ b/crates/platform/src/engine/node_connections/listed_nodes.rs
@@ -199,6 +199,12 @@
         self.nodes.get(&node).is_none_or(Node::is_gone)
     }
 
+    /// Whether the node accepts new tasks according to the list.
+    pub(in crate::engine) fn accepts_tasks(&self, node: NodeId) -> bool {
+        let node = self.nodes.get(&node);
+        node.is_some_and(|node| node.entry.state == NodeStatus::Ready)
+    }
+
     /// Whether the node's address is known, because the node was listed.
     pub(in crate::engine) fn has_address(&self, node: NodeId) -> bool {
         self.nodes.get(&node).is_some_and(|n| n.address.is_some())
--- a/crates/platform/src/engine/node_list.rs
+++ b/crates/platform/src/engine/node_list.rs
@@ -4,8 +4,9 @@
 use super::node_connections::ListChanges;
 use super::timers::Timer;
 use crate::endpoint_watch::{EndpointEvent, NodeListUpdate};
-use peppercove::{AttemptOutcome, Event, ListUpdateKind, NodeEntry, NodeId};
+use peppercove::{Event, ListUpdateKind, NodeEntry, NodeId};
 use peppercove_core::Decide;
+use std::collections::BTreeSet;
 
 impl<D: Decide> PlatformEngine<D> {
     /// Applies the events up to the start, and passes the resulting list to the scheduler.
@@ -51,11 +52,11 @@
         } = self.nodes.apply_update(update, &self.schema);
         let updated: Vec<NodeId> = entries.iter().map(|entry| entry.node).collect();
         self.push_node_list(kind, version, entries);
-        for node in updated.iter().chain(&gone) {
-            // Invariant: no attempt is sent to a node that no longer accepts tasks according to the list. Queued
-            // attempts would be sent as soon as their connection is established.
-            for attempt in self.nodes.queued_for_unready_node(*node) {
-                self.abandon_attempt(attempt, AttemptOutcome::Unreachable, false);
+        let changed: BTreeSet<NodeId> = updated.iter().chain(&gone).copied().collect();
+        for node in changed {
+            // Invariant: no attempt is sent to a node that no longer accepts tasks according to the list.
+            if !self.nodes.accepts_tasks(node) {
+                self.stop_sending_to(node);
             }
         }
         for node in updated {
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -31,8 +31,12 @@
     pub(super) connection: NodeConnectionId,
     pub(super) state: AttemptState,
     pub(super) expires_at: Micros,
+    /// The latest time at which it may be sent.
+    pub(super) send_by: Micros,
     /// The timer of its timeout, while it is open.
     pub(super) timeout_timer: Option<TimerId>,
+    /// The timer of `send_by`, if that is earlier than the timeout, while it is open.
+    pub(super) send_timer: Option<TimerId>,
 }
 
 /// Progress of an attempt.
@@ -44,6 +48,8 @@
     Sent {
         /// Number of bytes sent on the connection before the attempt.
         offset: u64,
+        /// Number of bytes sent on the connection including the attempt.
+        end: u64,
     },
     /// Ended: the node answered it, or it never reached the node.
     Resolved,
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -24,9 +24,11 @@
         };
         attempt.state = AttemptState::Resolved;
         let timeout_timer = attempt.timeout_timer.take();
+        let send_timer = attempt.send_timer.take();
         self.nodes.remove_attempt(attempt.connection, id);
         self.cancel_timer(deadline_timer);
         self.cancel_timer(timeout_timer);
+        self.cancel_timer(send_timer);
         self.remove_open_request(client, id.request);
         self.on_task_confirmed(client);
         self.events.push(Event::Placed {
--- a/crates/platform/src/engine/scheduling.rs
+++ b/crates/platform/src/engine/scheduling.rs
@@ -1,5 +1,6 @@
 //! Passes batches of events to the scheduler and executes the actions it returns.
 
+use super::attempts::AttemptLimits;
 use super::request::AttemptId;
 use super::timers::Timer;
 use super::{Output, PlatformEngine};
@@ -36,7 +37,8 @@
                 request,
                 node,
                 timeout,
-            } => self.dispatch(request, node, timeout),
+                send_by,
+            } => self.dispatch(request, node, AttemptLimits { timeout, send_by }),
             Action::CancelAttempt { request, attempt } => {
                 // `abandon_attempt` does nothing if the attempt is not open, for example if it has placed the task.
                 let number = attempt;
--- a/crates/platform/src/engine/timers.rs
+++ b/crates/platform/src/engine/timers.rs
@@ -15,6 +15,8 @@
     },
     /// An attempt has timed out.
     AttemptTimeout(AttemptId),
+    /// The time is over within which an attempt may be sent.
+    SendBy(AttemptId),
     /// The deadline of a request has passed by more than the grace period; its client should have given up by now.
     RequestDeadline(RequestId),
     /// No message has shown to which attempt an ambiguous end belongs.
@@ -58,6 +60,7 @@
             Timer::AttemptTimeout(attempt) => {
                 self.abandon_attempt(attempt, AttemptOutcome::TimedOut, false);
             }
+            Timer::SendBy(attempt) => self.on_send_limit(attempt),
             Timer::RequestDeadline(request) => {
                 let is_open = |r: &Request| r.state.is_open();
                 if self.requests.get(request).is_some_and(is_open) {
--- a/crates/platform/tests/engine/attempts.rs
+++ b/crates/platform/tests/engine/attempts.rs
@@ -190,6 +190,7 @@
         request: RequestId(1),
         node: node_id("a"),
         timeout: None,
+        send_by: None,
     });
     let out = harness.input(Input::ClientMessage(
         ClientId(1),
--- a/crates/platform/tests/engine/harness.rs
+++ b/crates/platform/tests/engine/harness.rs
@@ -88,6 +88,18 @@
             request: RequestId(request),
             node: node_id(node),
             timeout,
+            send_by: None,
+        })
+    }
+
+    /// Lets the scheduler dispatch a request to a node, to be sent within this time or not at all.
+    pub fn dispatch_within(&mut self, request: u64, node: &str, span: Micros) -> Vec<Output> {
+        let send_by = Some(self.now + span);
+        self.take_action(Action::Dispatch {
+            request: RequestId(request),
+            node: node_id(node),
+            timeout: None,
+            send_by,
         })
     }
 
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -19,6 +19,7 @@
 mod random_answers;
 mod random_inputs;
 mod random_node_reports;
+mod send_limits;
 mod shutdown;
 mod timing;
 mod untracked_tasks;
--- a/crates/platform/tests/engine/random_inputs.rs
+++ b/crates/platform/tests/engine/random_inputs.rs
@@ -64,6 +64,7 @@
                         request,
                         node,
                         timeout,
+                        send_by: None,
                     });
                 }
                 5 => {
--- a/crates/platform/tests/engine/random_node_reports/scheduler.rs
+++ b/crates/platform/tests/engine/random_node_reports/scheduler.rs
@@ -52,6 +52,7 @@
                 request,
                 node: self.node,
                 timeout,
+                send_by: None,
             }
         };
         events.iter().filter_map(pending).map(next).collect()
--- a/crates/platform/tests/engine/random_node_reports/world.rs
+++ b/crates/platform/tests/engine/random_node_reports/world.rs
@@ -134,7 +134,8 @@
                 }
                 Output::Close(number) => self.close_from_engine(number.0),
                 Output::SendToClient(_, frame) => self.on_client_message(&decode_frame(&frame)),
-                Output::WatchEndpoints | Output::Log(_) => {}
+                // Messages are written at once.
+                Output::CloseUnlessWritten(..) | Output::WatchEndpoints | Output::Log(_) => {}
             }
         }
     }
--- a/crates/platform/tests/engine/untracked_tasks.rs
+++ b/crates/platform/tests/engine/untracked_tasks.rs
@@ -45,7 +45,7 @@
     to_clients(&out).into_iter().filter_map(to_client).collect()
 }
 
-/// Guards against an owner that is not notified of the ends of its tasks because other clients have handed over tasks
+/// Guards against a client that is not notified of the ends of its tasks because other clients have handed over tasks
 /// that no node runs, before or after it did.
 #[test]
 fn ends_are_notified_although_other_clients_have_used_up_the_limit_on_running_tasks() {
@@ -60,40 +60,40 @@
         }
         let connection = if is_client_first { 1 } else { 2 };
         for id in TASKS {
-            let told = end_task(&mut harness, id, connection, CLIENT);
-            assert_eq!(told, [end(id)], "client first: {is_client_first}");
+            let notified = end_task(&mut harness, id, connection, CLIENT);
+            assert_eq!(notified, [end(id)], "client first: {is_client_first}");
         }
         assert!(harness.engine.counters().handovers_dropped > 0);
     }
 }
 
-/// Guards against the same where the owner has come back over a new connection, before or after its tasks ended.
+/// Guards against the same where it has come back over a new connection, before or after its tasks ended.
 #[test]
-fn ends_are_notified_to_an_owner_that_comes_back_after_its_handovers_were_dropped() {
+fn ends_are_notified_to_a_client_that_comes_back_after_its_handovers_were_dropped() {
     for ends_first in [true, false] {
         let mut harness = Harness::new();
         hand_over_tasks(&mut harness);
         hand_over_unknown_tasks(&mut harness);
         harness.input(Input::ClientDisconnected(CLIENT));
         let returned = ClientId(CLIENT.0 + 1);
-        let mut told = Vec::new();
+        let mut notified = Vec::new();
         let come_back = Input::ClientMessage(returned, request(500, "plain"));
         if ends_first {
             for id in TASKS {
                 end_task(&mut harness, id, 1, returned);
             }
             let out = harness.input(come_back);
-            told.extend(to_clients(&out).into_iter().map(|(_, message)| message.id));
+            notified.extend(to_clients(&out).into_iter().map(|(_, message)| message.id));
         } else {
             harness.input(come_back);
             for id in TASKS {
                 let ends = end_task(&mut harness, id, 1, returned);
-                told.extend(ends.into_iter().map(|message| message.id));
+                notified.extend(ends.into_iter().map(|message| message.id));
             }
         }
-        told.sort_unstable();
+        notified.sort_unstable();
         assert_eq!(
-            told,
+            notified,
             TASKS.collect::<Vec<u64>>(),
             "ends first: {ends_first}"
         );
--- a/crates/scale/src/hollow_scheduler.rs
+++ b/crates/scale/src/hollow_scheduler.rs
@@ -223,7 +223,8 @@
                     self.receive_at_node(connection, &frame);
                 }
                 Output::Close(connection) => self.close(connection),
-                Output::WatchEndpoints | Output::Log(_) => {}
+                // Messages are written at once.
+                Output::CloseUnlessWritten(..) | Output::WatchEndpoints | Output::Log(_) => {}
             }
         }
     }
--- a/crates/scale/src/roles/serve/harness.rs
+++ b/crates/scale/src/roles/serve/harness.rs
@@ -143,7 +143,7 @@
                     .deliver_after(NETWORK_DELAY * 4, Delivery::ListAnswer);
             }
             // Connections never break here, and the engine closes none.
-            Output::Close(_) | Output::Log(_) => {}
+            Output::Close(_) | Output::CloseUnlessWritten(..) | Output::Log(_) => {}
         }
     }
 
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Closes the connection unless at least this many bytes were written to it, so that a message that waits for a full
+    /// socket is not sent later.
+    pub(crate) fn close_unless_written(&self, bytes: u64) {
+        if self.send_buffer.bytes_written() < bytes {
+            self.send_buffer.close();
+        }
+    }
+
     /// Records the result of a read: whether it completed any message, and whether a partial message is left.
     pub(crate) fn record_read(&self, now: Micros, has_complete: bool, has_partial: bool) {
         if has_complete {
--- a/crates/serve/src/connection/tests.rs
+++ b/crates/serve/src/connection/tests.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 
-#[tokio::test(flavor = "current_thread")]
-async fn send_writes_immediately_and_a_cancel_that_cannot_be_written_closes_the_connection() {
+/// Two ends of a connection.
+async fn connected_streams() -> (Rc<TcpStream>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("cannot bind the listener");
@@ -12,10 +12,39 @@
         .local_addr()
         .expect("cannot read the listener's address");
     let (local, peer) = tokio::join!(TcpStream::connect(address), listener.accept());
-    let (local, _peer) = (
-        Rc::new(local.expect("cannot connect to the listener")),
-        peer.expect("cannot accept the connection"),
-    );
+    let local = local.expect("cannot connect to the listener");
+    let (peer, _) = peer.expect("cannot accept the connection");
+    (Rc::new(local), peer)
+}
+
+/// Guards against a message that waits for a full socket and is sent later than it may.
+#[tokio::test(flavor = "current_thread")]
+async fn connection_is_closed_unless_the_socket_has_taken_enough_bytes() {
+    let (local, _peer) = connected_streams().await;
+    let connection = Connection::new(0, &SendBudget::new(1 << 24));
+    let driven = drive(&local, &connection.send_buffer, |_| true);
+    let steps = async {
+        tokio::task::yield_now().await;
+        assert!(connection.send(b"request"));
+        connection.close_unless_written(7);
+        assert!(!connection.send_buffer.is_closing());
+        assert!(
+            !connection.send(&vec![0; 1 << 23]),
+            "the socket does not take this much while the peer does not read"
+        );
+        connection.close_unless_written(8);
+        assert!(!connection.send_buffer.is_closing(), "a part was written");
+        connection.close_unless_written(7 + (1 << 23));
+    };
+    assert!(matches!(
+        tokio::join!(driven, steps).0,
+        CloseReason::Locally
+    ));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn send_writes_immediately_and_a_cancel_that_cannot_be_written_closes_the_connection() {
+    let (local, _peer) = connected_streams().await;
     let connection = Connection::new(0, &SendBudget::new(1 << 24));
     let driven = drive(&local, &connection.send_buffer, |_| true);
     let steps = async {
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -149,6 +149,9 @@
             Output::Close(id) => {
                 self.with_node_connection(id, |connection| connection.send_buffer.close());
             }
+            Output::CloseUnlessWritten(id, bytes) => {
+                self.with_node_connection(id, |connection| connection.close_unless_written(bytes));
+            }
             Output::WatchEndpoints => self.watch_requested.notify_one(),
             Output::Log(line) => tracing::info!(target: "peppercove::module", "{line}"),
         }
--- a/src/adapter_protocol/reply.rs
+++ b/src/adapter_protocol/reply.rs
@@ -68,6 +68,8 @@
                 request,
                 node,
                 timeout,
+                // The simulator sends at once.
+                send_by: _,
             } => {
                 self.push_request(code::DISPATCH, *request);
                 self.push_duration(timeout.unwrap_or(0));
--- a/src/api/action.rs
+++ b/src/api/action.rs
@@ -15,6 +15,9 @@
         node: NodeId,
         /// Time after which the attempt times out; `None` means the deadline of the client.
         timeout: Option<Micros>,
+        /// The latest time at which the attempt may be sent, wherever it has to wait; `None` means
+        /// until it times out.
+        send_by: Option<Micros>,
     },
     /// Cancel an attempt in flight.
     CancelAttempt {
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -18,6 +18,7 @@
         let estimate = self.start_estimate(node, &request.spec);
         let has_program = node.programs.contains(request.spec.service);
         let timeout = self.attempt_timeout(&request, estimate);
+        let send_by = self.dedup_window_end(&request);
         let tasks = BackoffScope::of_tasks(&request.spec);
         let start = AttemptStart::Dispatched {
             estimate,
@@ -31,6 +32,7 @@
             request: id,
             node: node_id,
             timeout,
+            send_by,
         });
         self.probe_sampled_node();
     }
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use super::node::Node;
 use super::request::TrackedRequest;
-use crate::api::{Idempotency, Micros, NodeId, PlacementRequest, RequestId, Resources};
+use crate::api::{Micros, NodeId, PlacementRequest, RequestId, Resources};
 use std::collections::BTreeSet;
 
 /// Maximum number of queue scans per shortest latency objective: frequent enough that the added
@@ -188,20 +188,10 @@
     /// Returns the time by which a queued request must be answered because it can no longer be
     /// placed after it: before its deadline, and before the window of its idempotency key ends.
     fn answer_by(&self, request: &TrackedRequest) -> Micros {
-        let window_end = match (
-            self.class(request.spec.class).idempotency,
-            request.first_possible_start(),
-        ) {
-            (Idempotency::Keyed { window, .. }, Some(first)) => {
-                (first.sent_at + window).saturating_sub(self.settings.tick)
-            }
-            (Idempotency::Keyed { .. }, None)
-            | (Idempotency::Idempotent | Idempotency::NonIdempotent, _) => Micros::MAX,
-        };
         request
             .deadline
             .saturating_sub(self.answer_margin())
-            .min(window_end)
+            .min(self.dedup_window_end(request).unwrap_or(Micros::MAX))
     }
 
     /// Returns the margin kept before a deadline: late answers still count for a short time, and
--- a/src/scheduler/retries.rs
+++ b/src/scheduler/retries.rs
@@ -29,15 +29,29 @@
 
     /// Invariant: a task that may have run is sent again only if a second start does no harm.
     pub(super) fn may_retry(&self, request: &TrackedRequest) -> bool {
-        let Some(first) = request.first_possible_start() else {
+        if request.first_possible_start().is_none() {
             return true;
-        };
+        }
         match self.class(request.spec.class).idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => false,
+            Idempotency::Keyed { .. } => {
+                let window_end = self.dedup_window_end(request);
+                window_end.is_none_or(|end| self.now < end)
+            }
+        }
+    }
+
+    /// Returns the time by which a task that may have run must be sent again, because nodes no
+    /// longer recognize its idempotency key afterwards. `None` if there is no such time.
+    pub(super) fn dedup_window_end(&self, request: &TrackedRequest) -> Option<Micros> {
+        let first = request.first_possible_start()?;
+        match self.class(request.spec.class).idempotency {
             Idempotency::Keyed { window, .. } => {
-                self.now + self.settings.tick < first.sent_at + window
+                let end = first.sent_at.saturating_add(window);
+                Some(end.saturating_sub(self.settings.tick))
             }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
         }
     }
 
--- a/tests/adapter_protocol.rs
+++ b/tests/adapter_protocol.rs
@@ -78,6 +78,7 @@
         request: request.id,
         node: NODE,
         timeout: Some(80_000),
+        send_by: None,
     };
     reply.push(
         3,
@@ -130,6 +131,7 @@
                 request,
                 node: NODE,
                 timeout: None,
+                send_by: None,
             },
             "0b 0201000000000000 00000000 0a204c09 e81b",
         ),
@@ -138,6 +140,7 @@
                 request,
                 node: NODE,
                 timeout: Some(u64::MAX),
+                send_by: Some(1),
             },
             "0b 0201000000000000 ffffffff 0a204c09 e81b",
         ),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -139,6 +139,7 @@
                 request,
                 node,
                 timeout,
+                send_by: _,
             } => self.check_dispatch(request, node, timeout),
             Action::Reject { request, .. } => {
                 let tracked = self
--- a/tests/scheduler/retries.rs
+++ b/tests/scheduler/retries.rs
@@ -71,6 +71,34 @@
     );
 }
 
+/// Guards against a keyed task that is sent after its nodes have forgotten its key, because the attempt had to wait for a
+/// connection.
+#[test]
+fn a_keyed_task_that_may_have_run_must_be_sent_within_its_window() {
+    const KEYED: u16 = 1;
+    let settings = Settings::sample();
+    let Idempotency::Keyed { window, .. } = settings.classes[usize::from(KEYED)].idempotency else {
+        panic!("the class must be keyed")
+    };
+    let tick = settings.tick;
+    let mut scheduler = Scheduler::new(settings, 11);
+    let entries = (0..4).map(|node| node_entry(node, 0)).collect();
+    scheduler.handle(SECOND, &[node_list(ListUpdateKind::Full, 1, entries)]);
+    let send_by = |actions: &[Action]| {
+        let limit = |action: &Action| match action {
+            Action::Dispatch { send_by, .. } => Some(*send_by),
+            _ => None,
+        };
+        actions.iter().find_map(limit).expect("no dispatch")
+    };
+    let first = scheduler.handle(SECOND, &[Event::Place(task(1, KEYED, 1))]);
+    assert_eq!(send_by(&first), None, "nothing has run yet");
+    let node = dispatches(&first)[0].node;
+    let error = attempt_ended(1, 0, node, AttemptOutcome::Error, EndReason::Unknown);
+    let second = scheduler.handle(2 * SECOND, &[error]);
+    assert_eq!(send_by(&second), Some(SECOND + window - tick));
+}
+
 #[test]
 fn a_cancelled_request_gets_no_further_attempt() {
     let mut scheduler = scheduler_with_nodes(Settings::sample(), 2);
