Incomplete messages of clients stay within a memory budget

Cause: a read buffer of 24 to 32 KiB for each connection in the middle of a message, a queued request that keeps the whole buffer it was decoded from, and no limit on the sum. Change: one read chunk for all connections, exact allocations for what is incomplete, a budget for it (an eighth of the memory for clients, as much for nodes) past which large incomplete messages are not read, decoded messages of their own.

--- a/crates/platform/src/engine/bounds.rs
+++ b/crates/platform/src/engine/bounds.rs
@@ -44,6 +44,9 @@
     pub client_connections: usize,
     /// Maximum number of bytes buffered for sending on all connections; enforced by the server.
     pub send_buffer_bytes: usize,
+    /// Number of bytes of incomplete messages from which large ones are not read further, for all client connections and
+    /// for all node connections; enforced by the server.
+    pub receive_buffer_bytes: usize,
     /// Time without received messages after which a connection to a node with tasks or attempts is checked.
     pub health_check_interval: Micros,
     /// Time after which a connection with an unanswered health check counts as broken.
@@ -83,6 +86,7 @@
             node_connections: node_connections(connections, client_connections, 0),
             client_connections,
             send_buffer_bytes: memory_bytes / 4,
+            receive_buffer_bytes: memory_bytes / 8,
             health_check_interval: 0,
             health_check_timeout: 0,
             unreachable_timeout: MAX_UNREPORTED_END_DELAY / 2,
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -245,14 +245,16 @@
     if buffer.len() < LENGTH_BYTES + length {
         return Ok(None);
     }
-    let mut body = buffer.split_to(LENGTH_BYTES + length).freeze();
-    body.advance(LENGTH_BYTES + size_of::<u8>());
+    let mut body = &buffer[LENGTH_BYTES + size_of::<u8>()..LENGTH_BYTES + length];
     let id = body.get_u64();
-    check_parameters(&body)?;
+    check_parameters(body)?;
+    // A copy, because a part of the buffer would keep all of it in memory.
+    let parameters = Bytes::copy_from_slice(body);
+    buffer.advance(LENGTH_BYTES + length);
     Ok(Some(Message {
         kind,
         id,
-        parameters: body,
+        parameters,
     }))
 }
 
--- a/crates/platform/tests/engine/fixtures.rs
+++ b/crates/platform/tests/engine/fixtures.rs
@@ -26,6 +26,7 @@
         node_connections: 3,
         client_connections: 100,
         send_buffer_bytes: 1 << 16,
+        receive_buffer_bytes: 1 << 16,
         health_check_interval: 500 * MS,
         health_check_timeout: S,
         unreachable_timeout: 4 * S,
--- a/crates/runtime/src/connection.rs
+++ b/crates/runtime/src/connection.rs
@@ -1,20 +1,24 @@
-//! Byte-stream connections with bounded send buffers: a peer that does not read loses its connection and does not delay
-//! other connections.
+//! Byte-stream connections with bounded buffers: a peer that does not read loses its connection, and peers that send
+//! incomplete messages are not read while these use up the memory for them. Neither delays other connections.
 
+mod receive_buffer;
 mod send_buffer;
 
+pub use receive_buffer::ReceiveBudget;
 pub use send_buffer::{SendBudget, SendBuffer};
 
 use bytes::BytesMut;
+use receive_buffer::ReceiveBuffer;
 use send_buffer::Closing;
 use std::io::{self, ErrorKind};
 use std::ops::ControlFlow;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 
-/// Maximum number of bytes per read.
-const READ_CHUNK_BYTES: usize = 8 << 10;
+/// Interval at which a connection that is not read, because the receive budget is exhausted, checks the budget.
+const BLOCKED_READ_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a connection ended.
 #[derive(Debug)]
@@ -37,6 +41,7 @@
 pub async fn drive(
     stream: &Rc<TcpStream>,
     send_buffer: &SendBuffer,
+    receive_budget: &Rc<ReceiveBudget>,
     decode: impl FnMut(&mut BytesMut) -> bool,
 ) -> CloseReason {
     send_buffer.attach(stream);
@@ -44,7 +49,7 @@
         stream,
         send_buffer,
         decode,
-        received: BytesMut::new(),
+        received: ReceiveBuffer::new(receive_budget),
         has_read_before_close: false,
     };
     loop {
@@ -58,7 +63,7 @@
     stream: &'a TcpStream,
     send_buffer: &'a SendBuffer,
     decode: F,
-    received: BytesMut,
+    received: ReceiveBuffer,
     /// Whether the final read before a close after flush is done.
     has_read_before_close: bool,
 }
@@ -83,6 +88,13 @@
         } else {
             Interest::READABLE
         };
+        if self.received.is_blocked() {
+            tokio::select! {
+                () = tokio::time::sleep(BLOCKED_READ_INTERVAL) => {}
+                () = self.send_buffer.changed() => {}
+            }
+            return ControlFlow::Continue(());
+        }
         tokio::select! {
             // The peer has sent something, or the socket can take more bytes.
             ready = self.stream.ready(interest) => self.on_ready(ready),
@@ -101,8 +113,7 @@
         }
         tokio::task::yield_now().await;
         self.has_read_before_close = true;
-        self.received.reserve(READ_CHUNK_BYTES);
-        match self.stream.try_read_buf(&mut self.received) {
+        match self.received.read_from(self.stream) {
             Ok(0) => ControlFlow::Break(CloseReason::ByPeer),
             Ok(_) => self.decode_received(),
             // If the connection stays open, the next read reports the error again.
@@ -119,24 +130,17 @@
     }
 
     fn read(&mut self) -> ControlFlow<CloseReason> {
-        self.received.reserve(READ_CHUNK_BYTES);
-        match self.stream.try_read_buf(&mut self.received) {
+        match self.received.read_from(self.stream) {
             Ok(0) => ControlFlow::Break(CloseReason::ByPeer),
-            Ok(_) => {
-                self.decode_received()?;
-                if self.received.is_empty() {
-                    // Idle connections hold no buffer.
-                    self.received = BytesMut::new();
-                }
-                ControlFlow::Continue(())
-            }
+            Ok(_) => self.decode_received(),
             Err(error) if error.kind() == ErrorKind::WouldBlock => ControlFlow::Continue(()),
             Err(error) => ControlFlow::Break(CloseReason::Failed(error)),
         }
     }
 
     fn decode_received(&mut self) -> ControlFlow<CloseReason> {
-        if (self.decode)(&mut self.received) {
+        if (self.decode)(&mut self.received.bytes) {
+            self.received.shrink();
             return ControlFlow::Continue(());
         }
         // Send the answers to messages decoded earlier, as far as the socket accepts them now.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,5 +9,5 @@
 mod timer;
 
 pub use clock::Clock;
-pub use connection::{CloseReason, SendBudget, SendBuffer, drive};
+pub use connection::{CloseReason, ReceiveBudget, SendBudget, SendBuffer, drive};
 pub use timer::Timer;
--- a/crates/runtime/tests/connection.rs
+++ b/crates/runtime/tests/connection.rs
@@ -1,9 +1,9 @@
 //! Connections: what happens to buffered bytes when a connection is closed, and the limits of send buffers.
 
-use peppercove_runtime::{CloseReason, SendBudget, SendBuffer, drive};
+use peppercove_runtime::{CloseReason, ReceiveBudget, SendBudget, SendBuffer, drive};
 use std::io::ErrorKind;
 use std::rc::Rc;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Two ends of a TCP connection: the one under test, and its peer.
@@ -21,6 +21,10 @@
     )
 }
 
+fn receive_budget() -> Rc<ReceiveBudget> {
+    ReceiveBudget::new(1 << 20)
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn close_after_flush_sends_buffered_bytes_and_close_discards_them() {
     for (is_flushed, expected) in [(true, &b"the end of a task"[..]), (false, &b""[..])] {
@@ -35,7 +39,7 @@
         }
         assert!(!send_buffer.push(b"too late"));
         assert!(matches!(
-            drive(&local, &send_buffer, |_| true).await,
+            drive(&local, &send_buffer, &receive_budget(), |_| true).await,
             CloseReason::Locally
         ));
         drop(local);
@@ -56,8 +60,8 @@
         // Both happen before `drive` is first polled, and the runtime has not polled the socket in between.
         std::io::Write::write_all(&mut peer, b"a set-up").expect("cannot write to the connection");
         send_buffer.close_after_flush();
-        let mut read = Vec::new();
-        let driven = drive(&local, &send_buffer, |buffer| {
+        let (mut read, budget) = (Vec::new(), receive_budget());
+        let driven = drive(&local, &send_buffer, &budget, |buffer| {
             read.extend_from_slice(&buffer.split());
             if is_answered {
                 send_buffer.cancel_close();
@@ -86,7 +90,8 @@
     let send_buffer = SendBuffer::new(&SendBudget::new(1 << 24));
     assert!(send_buffer.push(b"a set-up"));
     assert!(!send_buffer.flush(), "`drive` does not run yet");
-    let driven = drive(&local, &send_buffer, |_| true);
+    let budget = receive_budget();
+    let driven = drive(&local, &send_buffer, &budget, |_| true);
     let steps = async {
         tokio::task::yield_now().await;
         assert!(send_buffer.push(b", and what takes it back"));
@@ -120,11 +125,75 @@
         "a write over the budget was not rejected"
     );
     assert!(matches!(
-        drive(&local, &send_buffer, |_| true).await,
+        drive(&local, &send_buffer, &receive_budget(), |_| true).await,
         CloseReason::Locally
     ));
 }
 
+/// Guards against memory use without limit by peers that stop in the middle of large messages, and against other peers that
+/// are not read because of them.
+#[tokio::test(flavor = "current_thread")]
+async fn large_incomplete_messages_use_no_more_than_the_receive_budget() {
+    const BUDGET: usize = 64 << 10;
+    const PEERS: usize = 40;
+    const LARGE: usize = 15 << 10;
+    let budget = ReceiveBudget::new(BUDGET);
+    let (send_budget, mut peers) = (SendBudget::new(1 << 20), Vec::new());
+    let local = tokio::task::LocalSet::new();
+    let complete = Rc::new(std::cell::Cell::new(0));
+    for number in 0..=PEERS {
+        let (stream, mut peer) = connected_pair().await;
+        let (budget, send_buffer) = (budget.clone(), SendBuffer::new(&send_budget));
+        let complete = complete.clone();
+        local.spawn_local(async move {
+            drive(&stream, &send_buffer, &budget, |received| {
+                // A message is complete with a line feed.
+                if received.ends_with(b"\n") {
+                    received.clear();
+                    complete.set(complete.get() + 1);
+                }
+                true
+            })
+            .await;
+        });
+        let message = match number {
+            PEERS => &b"a small message\n"[..],
+            _ => &[b'x'; LARGE][..],
+        };
+        local
+            .run_until(peer.write_all(message))
+            .await
+            .expect("cannot write to the connection");
+        peers.push(peer);
+    }
+    let is_read = async {
+        while complete.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    local.run_until(is_read).await;
+    let max_overshoot = PEERS * (2 << 10);
+    assert!(
+        budget.used() <= BUDGET + max_overshoot,
+        "{} bytes are buffered, the budget is {BUDGET}",
+        budget.used()
+    );
+    // The messages of the others are read once the budget is free again.
+    peers.drain(..PEERS - 1);
+    let last = &mut peers[0];
+    local
+        .run_until(last.write_all(b"\n"))
+        .await
+        .expect("cannot write to the connection");
+    let are_read = async {
+        while complete.get() < 2 {
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    };
+    local.run_until(are_read).await;
+    assert!(budget.used() < 1 << 10);
+}
+
 #[test]
 fn busy_connection_uses_the_budget_that_is_unused_and_slow_ones_leave_some() {
     let budget = SendBudget::new(1 << 20);
--- a/crates/serve/src/clients.rs
+++ b/crates/serve/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use crate::nodes::decode_messages;
 use crate::server::Server;
+use bytes::BytesMut;
 use peppercove_platform::{ClientId, Input};
 use peppercove_runtime::drive;
 use std::rc::Rc;
@@ -45,13 +46,14 @@
     stream: TcpStream,
 ) {
     let stream = Rc::new(stream);
-    drive(&stream, &connection.send_buffer, |received| {
+    let decode = |received: &mut BytesMut| {
         server.record_activity();
         decode_messages(&server, &connection, received, |message| {
             server.on_client_message(id, &connection, message);
         })
-    })
-    .await;
+    };
+    let (send_buffer, receive_budget) = (&connection.send_buffer, &server.client_receive_budget);
+    drive(&stream, send_buffer, receive_budget, decode).await;
     drop(stream);
     server.remove_client(id);
     server.handle(Input::ClientDisconnected(id));
--- a/crates/serve/src/connection/tests.rs
+++ b/crates/serve/src/connection/tests.rs
@@ -1,5 +1,5 @@
 use super::Connection;
-use peppercove_runtime::{CloseReason, SendBudget, drive};
+use peppercove_runtime::{CloseReason, ReceiveBudget, SendBudget, drive};
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -22,7 +22,8 @@
 async fn connection_is_closed_unless_the_socket_has_taken_enough_bytes() {
     let (local, _peer) = connected_streams().await;
     let connection = Connection::new(0, &SendBudget::new(1 << 24));
-    let driven = drive(&local, &connection.send_buffer, |_| true);
+    let budget = ReceiveBudget::new(1 << 20);
+    let driven = drive(&local, &connection.send_buffer, &budget, |_| true);
     let steps = async {
         tokio::task::yield_now().await;
         assert!(connection.send(b"request"));
@@ -46,7 +47,8 @@
 async fn send_writes_immediately_and_a_cancel_that_cannot_be_written_closes_the_connection() {
     let (local, _peer) = connected_streams().await;
     let connection = Connection::new(0, &SendBudget::new(1 << 24));
-    let driven = drive(&local, &connection.send_buffer, |_| true);
+    let budget = ReceiveBudget::new(1 << 20);
+    let driven = drive(&local, &connection.send_buffer, &budget, |_| true);
     let steps = async {
         tokio::task::yield_now().await;
         // No other task runs in between.
--- a/crates/serve/src/nodes.rs
+++ b/crates/serve/src/nodes.rs
@@ -44,12 +44,13 @@
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(stream);
     server.handle(Input::NodeConnected(id));
-    let reason = drive(&stream, &connection.send_buffer, |received| {
+    let decode = |received: &mut BytesMut| {
         decode_messages(server, connection, received, |message| {
             server.handle(Input::NodeMessage(id, message));
         })
-    })
-    .await;
+    };
+    let (send_buffer, receive_budget) = (&connection.send_buffer, &server.node_receive_budget);
+    let reason = drive(&stream, send_buffer, receive_budget, decode).await;
     tracing::debug!(connection = id.0, %address, ?reason, "node connection closed");
     // If the node closed the connection after a complete message, everything that it sent was read.
     let is_clean =
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -9,7 +9,7 @@
 use peppercove_platform::{
     Bounds, ClientId, Counters, Input, NodeConnectionId, Output, PlatformEngine,
 };
-use peppercove_runtime::{Clock, SendBudget, Timer};
+use peppercove_runtime::{Clock, ReceiveBudget, SendBudget, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -32,6 +32,10 @@
     bounds: Bounds,
     /// Memory budget of all send buffers.
     send_budget: Rc<SendBudget>,
+    /// Memory budget of the incomplete messages of clients.
+    pub(crate) client_receive_budget: Rc<ReceiveBudget>,
+    /// Memory budget of the incomplete messages of nodes, which clients must not use up.
+    pub(crate) node_receive_budget: Rc<ReceiveBudget>,
     /// Notified when a request is queued.
     request_queued: Notify,
     /// How long queued requests are admitted before the sockets are polled again.
@@ -81,6 +85,8 @@
             timer: Timer::default(),
             bounds,
             send_budget: SendBudget::new(bounds.send_buffer_bytes),
+            client_receive_budget: ReceiveBudget::new(bounds.receive_buffer_bytes),
+            node_receive_budget: ReceiveBudget::new(bounds.receive_buffer_bytes),
             request_queued: Notify::new(),
             admission_slice,
             dial_timeout,
