A client that sends at full speed no longer delays all others

Cause: a connection reads in a loop while its socket is ready, which does not yield, and all runs on one thread. Change: after two reads in a row all other tasks have a turn. A connection that waits for the receive budget and whose peer has closed it is read to its end: a run of the test of the budget hung on that, before this landed. The new serve test, seven kinds of messages, failed with the turns taken out and passes.

--- a/crates/cli/tests/serve/main.rs
+++ b/crates/cli/tests/serve/main.rs
@@ -4,6 +4,7 @@
 mod descriptors;
 mod endpoint_list;
 mod faulty_peers;
+mod flood;
 mod memory;
 mod requests;
 mod shutdown;
--- a/crates/runtime/src/connection.rs
+++ b/crates/runtime/src/connection.rs
@@ -17,6 +17,8 @@
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 
+/// Number of reads in a row after which all other tasks have a turn.
+const READS_PER_TURN: u32 = 2;
 /// Interval at which a connection that is not read, because the receive budget is exhausted, checks the budget.
 const BLOCKED_READ_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -50,6 +52,7 @@
         send_buffer,
         decode,
         received: ReceiveBuffer::new(receive_budget),
+        reads_in_turn: 0,
         has_read_before_close: false,
     };
     loop {
@@ -64,12 +67,20 @@
     send_buffer: &'a SendBuffer,
     decode: F,
     received: ReceiveBuffer,
+    /// Number of successful reads since all other tasks had a turn, or since there was nothing to read.
+    reads_in_turn: u32,
     /// Whether the final read before a close after flush is done.
     has_read_before_close: bool,
 }
 
 impl<F: FnMut(&mut BytesMut) -> bool> Driver<'_, F> {
     async fn step(&mut self) -> ControlFlow<CloseReason> {
+        if self.reads_in_turn >= READS_PER_TURN {
+            // A peer that sends faster than it is read would otherwise keep all other connections and timers waiting:
+            // waiting for a socket that is ready does not yield.
+            self.reads_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
         match self.send_buffer.closing() {
             Some(Closing::Now) => return ControlFlow::Break(CloseReason::Locally),
             Some(Closing::AfterFlush) if self.send_buffer.is_empty() => {
@@ -89,11 +100,7 @@
             Interest::READABLE
         };
         if self.received.is_blocked() {
-            tokio::select! {
-                () = tokio::time::sleep(BLOCKED_READ_INTERVAL) => {}
-                () = self.send_buffer.changed() => {}
-            }
-            return ControlFlow::Continue(());
+            return self.wait_for_receive_budget().await;
         }
         tokio::select! {
             // The peer has sent something, or the socket can take more bytes.
@@ -103,6 +110,24 @@
         }
     }
 
+    /// Waits while the receive budget is exhausted. If the peer has closed the connection, what it sent before is read
+    /// nevertheless, because the connection would otherwise keep its part of the budget.
+    async fn wait_for_receive_budget(&mut self) -> ControlFlow<CloseReason> {
+        tokio::select! {
+            () = tokio::time::sleep(BLOCKED_READ_INTERVAL) => {}
+            () = self.send_buffer.changed() => {}
+        }
+        let is_closed_by_peer = tokio::select! {
+            biased;
+            ready = self.stream.ready(Interest::READABLE) => ready.is_ok_and(|r| r.is_read_closed()),
+            () = std::future::ready(()) => false,
+        };
+        if is_closed_by_peer {
+            return self.read();
+        }
+        ControlFlow::Continue(())
+    }
+
     /// Reads once more before a flushed connection is closed.
     ///
     /// Race: messages that the peer sent just before the close must be answered. The runtime polls the sockets during
@@ -132,8 +157,14 @@
     fn read(&mut self) -> ControlFlow<CloseReason> {
         match self.received.read_from(self.stream) {
             Ok(0) => ControlFlow::Break(CloseReason::ByPeer),
-            Ok(_) => self.decode_received(),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => ControlFlow::Continue(()),
+            Ok(_) => {
+                self.reads_in_turn += 1;
+                self.decode_received()
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                self.reads_in_turn = 0;
+                ControlFlow::Continue(())
+            }
             Err(error) => ControlFlow::Break(CloseReason::Failed(error)),
         }
     }
