Handovers of tasks that no node runs no longer make all nodes look full

Cause: a handed-over task counts as load of its node on the client's word, past what the node reports, for good; a node that looks full is never tried. Change: where no node can take a task, nodes are tried that look full only because of unconfirmed handed-over tasks beyond what they report as requested. A node that is full after all rejects the task. With room, nothing changes. The new scheduler test fails with the second look taken out (0 of 4 dispatched) and passes.

--- a/crates/cli/tests/serve/flood.rs
+++ b/crates/cli/tests/serve/flood.rs
@@ -62,11 +62,12 @@
 }
 
 /// Guards against a client that keeps all others waiting for as long as it sends: their requests are answered, and the
-/// messages of nodes and the timers handled, only when it stops.
+/// messages of nodes and the timers handled, only when it stops. Also guards against requests that are rejected because of
+/// tasks that no node runs.
 #[test]
 fn client_is_served_while_another_one_sends_at_full_speed() {
     type MakeMessage = fn(u64) -> Vec<u8>;
-    let floods: [(&str, MakeMessage); 7] = [
+    let floods: [(&str, MakeMessage); 8] = [
         ("connection tests", |n| test(FIRST_ID + n).encode().to_vec()),
         ("messages without effect", |n| {
             Message::new(MessageKind::Progress, FIRST_ID + n)
@@ -89,6 +90,9 @@
             let withdrawal = Message::release(FIRST_ID + n, cause::ORDINARY);
             [flood_request(n, "").encode(), withdrawal.encode()].concat()
         }),
+        ("handovers on a listed node", |n| {
+            flood_request(n, ";at:a").encode().to_vec()
+        }),
         ("handovers on unlisted nodes", |n| {
             let figures = format!(";at:s-{n:08x}");
             flood_request(n, &figures).encode().to_vec()
@@ -100,8 +104,11 @@
         let flood = Flood::start(cluster.controller.address, message);
         for number in 0..10 {
             client.request(10 + number, "any");
-            // The node may be sent withdrawn requests as well.
-            while node.receive().id != 10 + number {}
+            // The node may be sent withdrawn requests as well, and connection tests.
+            let deadline = Instant::now() + TIMEOUT;
+            while node.receive().id != 10 + number {
+                assert!(Instant::now() < deadline, "{name}: not sent to the node");
+            }
             node.accept_task(10 + number, b"x");
             assert_eq!(client.receive().kind, MessageKind::Answer, "{name}");
         }
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -38,6 +38,7 @@
         if let Some(node) = self.nodes.get_mut(&node) {
             let before = node.load.foreign();
             node.load.move_foreign_to_own_history(spec.resources());
+            node.load.add_unconfirmed(spec.resources());
             self.mean_foreign_load.replace(before, node.load.foreign());
         }
         request.attempts.push(attempt);
--- a/src/scheduler/attempt_end.rs
+++ b/src/scheduler/attempt_end.rs
@@ -69,6 +69,10 @@
         };
         attempt.end(end.outcome);
         let (node, sent_at) = (attempt.node, attempt.sent_at);
+        let was_unconfirmed = std::mem::replace(&mut attempt.is_unconfirmed, false);
+        if was_unconfirmed {
+            self.remove_unconfirmed_load(node, request.spec.resources());
+        }
         self.release_attempt(&request.spec, node);
         let has_no_contact = self
             .nodes
--- a/src/scheduler/filters.rs
+++ b/src/scheduler/filters.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use super::backoff::BackoffScope;
 use super::node::Node;
-use super::placement::Placement;
+use super::placement::{CountedLoad, Placement};
 use crate::api::{DedupScope, Idempotency, Resources, TopologySpread};
 
 impl Placement<'_> {
@@ -32,7 +32,14 @@
         !node.rejected_size.covers(size, now)
             && self
                 .scheduler
-                .has_capacity(node, size, usable_share, self.mean_foreign_load)
+                .has_capacity(node, size, usable_share, self.requested(node))
+    }
+
+    fn requested(&self, node: &Node) -> Resources {
+        match self.counted_load {
+            CountedLoad::All => node.load.requested(self.mean_foreign_load),
+            CountedLoad::Reported => node.load.requested_if_reported(self.mean_foreign_load),
+        }
     }
 
     /// A node that does not respond, or that fails the tasks of one tenant and class, has a low
@@ -86,15 +93,14 @@
 
 impl Scheduler {
     /// Whether a task of this size fits into the given fraction of the capacity that the node
-    /// accepts.
+    /// accepts, beside the resources that are requested.
     pub(super) fn has_capacity(
         &self,
         node: &Node,
         size: Resources,
         usable_share: f64,
-        mean_foreign_load: Resources,
+        requested: Resources,
     ) -> bool {
-        let requested = node.load.requested(mean_foreign_load);
         let (overcommit, capacity) = (self.settings.overcommit(), node.capacity);
         requested.cores + size.cores <= usable_share * overcommit.cores * capacity.cores
             && requested.memory + size.memory <= usable_share * overcommit.memory * capacity.memory
--- a/src/scheduler/load_estimate.rs
+++ b/src/scheduler/load_estimate.rs
@@ -27,6 +27,11 @@
 #[derive(Default)]
 pub(super) struct NodeLoad {
     own: Resources,
+    /// The part of own load whose tasks were handed over, and of which the node has not reported
+    /// anything.
+    unconfirmed: Resources,
+    /// Requested resources according to the latest list entry or load report.
+    reported: Option<Resources>,
     own_history: VecDeque<OwnLoadChange>,
     /// Load of other schedulers; `None` until a list or report provides it.
     foreign: Option<Resources>,
@@ -79,6 +84,41 @@
         self.own + self.foreign.unwrap_or(mean_foreign)
     }
 
+    /// Returns the requested resources, without unconfirmed tasks that the node does not report.
+    ///
+    /// A task that is handed over already runs, so that it is part of what the node has reported
+    /// unless it is very young. Clients can hand over any number of tasks that no node runs.
+    pub(super) fn requested_if_reported(&self, mean_foreign: Resources) -> Resources {
+        self.requested(mean_foreign) - self.unreported()
+    }
+
+    /// Whether there are unconfirmed tasks that the node does not report.
+    pub(super) fn has_unreported_tasks(&self) -> bool {
+        let unreported = self.unreported();
+        unreported.cores > 0.0 || unreported.memory > 0.0
+    }
+
+    fn unreported(&self) -> Resources {
+        match self.reported {
+            Some(reported) => (self.unconfirmed - reported.at_least_zero()).at_least_zero(),
+            None => Resources::ZERO,
+        }
+    }
+
+    pub(super) fn set_reported(&mut self, requested: Resources) {
+        self.reported = Some(requested);
+    }
+
+    /// Records that an own task was handed over.
+    pub(super) fn add_unconfirmed(&mut self, size: Resources) {
+        self.unconfirmed = self.unconfirmed + size;
+    }
+
+    /// Records that a handed-over task has ended, or that its node has reported on it.
+    pub(super) fn remove_unconfirmed(&mut self, size: Resources) {
+        self.unconfirmed = (self.unconfirmed - size).at_least_zero();
+    }
+
     /// Returns the resources expected to be in use.
     pub(super) fn expected_use(&self, mean_foreign: Resources, ratio: UsageRatio) -> Resources {
         let requested = self.requested(mean_foreign);
@@ -98,7 +138,7 @@
 
     /// Sets own load to zero when no own task is left, since any remainder is due to rounding.
     pub(super) fn clear_own(&mut self) {
-        self.own = Resources::ZERO;
+        (self.own, self.unconfirmed) = (Resources::ZERO, Resources::ZERO);
     }
 
     /// Corrects the estimate for a newly added task that was already running: removes it from
@@ -112,6 +152,7 @@
 
     pub(super) fn reset_foreign(&mut self) {
         (self.foreign, self.unaccounted) = (None, Resources::ZERO);
+        self.reported = None;
     }
 
     /// Updates foreign load from the total of the requested resources of the node at an earlier
@@ -258,6 +299,7 @@
             let total = node.capacity - Resources::new(cores, memory);
             let schedulers = self.settings.schedulers;
             node.load.learn_foreign(total, observed_at, schedulers);
+            node.load.set_reported(total);
             node.load.observed_at = observed_at;
             self.mean_foreign_load.replace(before, node.load.foreign);
         }
--- a/src/scheduler/node_list.rs
+++ b/src/scheduler/node_list.rs
@@ -142,6 +142,7 @@
             let requested = node.capacity - Resources::new(cores, memory);
             node.load
                 .learn_foreign(requested, observed_at, self.settings.schedulers);
+            node.load.set_reported(requested);
         }
         node.entry = entry;
     }
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -18,10 +18,25 @@
     pub(super) mean_foreign_load: Resources,
     /// Number of tasks of the same service, by topology domain.
     pub(super) service_tasks: DomainCounts,
+    /// Which tasks count towards the load of a node.
+    pub(super) counted_load: CountedLoad,
+}
+
+/// Which tasks count towards the load of a node.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum CountedLoad {
+    /// All tasks.
+    All,
+    /// All but unconfirmed tasks that the node does not report.
+    Reported,
 }
 
 impl<'a> Placement<'a> {
-    fn new(scheduler: &'a Scheduler, request: &'a TrackedRequest) -> Placement<'a> {
+    fn new(
+        scheduler: &'a Scheduler,
+        request: &'a TrackedRequest,
+        counted_load: CountedLoad,
+    ) -> Placement<'a> {
         let class = scheduler.class(request.spec.class);
         Placement {
             scheduler,
@@ -30,6 +45,7 @@
             mean_foreign_load: scheduler.mean_foreign_load.get(),
             service_tasks: scheduler
                 .count_service_tasks(request.spec.service, class.topology_spread),
+            counted_load,
         }
     }
 
@@ -70,6 +86,12 @@
 }
 
 impl Scheduler {
+    /// Whether there are handed-over tasks that their nodes do not report.
+    fn has_unreported_tasks(&self) -> bool {
+        let mut nodes = self.nodes.values();
+        nodes.any(|node| node.load.has_unreported_tasks())
+    }
+
     /// Dispatches the request to a node. Returns false if no node can take it now.
     ///
     /// If `among` is `Some`, only those nodes are considered.
@@ -81,7 +103,12 @@
         if is_too_late || self.now < request.backoff_until {
             return false;
         }
-        let candidates = Placement::new(self, request).candidates(among);
+        let mut candidates = Placement::new(self, request, CountedLoad::All).candidates(among);
+        if candidates.is_empty() && self.has_unreported_tasks() {
+            // Nodes may look full only because of tasks that no node runs. If they are full, they
+            // reject the task, which does no harm.
+            candidates = Placement::new(self, request, CountedLoad::Reported).candidates(among);
+        }
         let Some(node) = sampling::sample(candidates, &mut self.rng) else {
             return false;
         };
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -174,8 +174,9 @@
         );
         let mean_foreign_load = self.mean_foreign_load.get();
         let has_capacity = |node: &Node| {
+            let requested = node.load.requested_if_reported(mean_foreign_load);
             node.is_ready()
-                && self.has_capacity(node, min_size, 1.0, mean_foreign_load)
+                && self.has_capacity(node, min_size, 1.0, requested)
                 && self.slow_start_allows(node)
         };
         self.nodes
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -125,13 +125,15 @@
     pub(super) may_have_run: bool,
     /// Whether it ended with an error.
     pub(super) has_failed: bool,
+    /// Whether its task was handed over, and its node has not reported on it.
+    pub(super) is_unconfirmed: bool,
 }
 
 impl Attempt {
     pub(super) fn new(entry: &NodeEntry, sent_at: Micros, start: AttemptStart) -> Attempt {
-        let (had_program, is_starting) = match start {
-            AttemptStart::Dispatched { has_program, .. } => (has_program, true),
-            AttemptStart::AlreadyRunning => (true, false),
+        let (had_program, is_starting, is_unconfirmed) = match start {
+            AttemptStart::Dispatched { has_program, .. } => (has_program, true, false),
+            AttemptStart::AlreadyRunning => (true, false, true),
         };
         Attempt {
             node: entry.node,
@@ -143,6 +145,7 @@
             is_starting,
             may_have_run: false,
             has_failed: false,
+            is_unconfirmed,
         }
     }
 }
--- a/src/scheduler/task_reports.rs
+++ b/src/scheduler/task_reports.rs
@@ -2,7 +2,7 @@
 
 use super::Scheduler;
 use super::backoff::BackoffScope;
-use crate::api::{NodeId, PlacementAck, RequestId, ResourceKind, TaskUpdate};
+use crate::api::{NodeId, PlacementAck, RequestId, ResourceKind, Resources, TaskUpdate};
 
 impl Scheduler {
     pub(super) fn on_placed(&mut self, id: RequestId, attempt: u16, node_id: NodeId) {
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Records that a handed-over task has ended, or that its node has reported on it.
+    pub(super) fn remove_unconfirmed_load(&mut self, node: NodeId, size: Resources) {
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.load.remove_unconfirmed(size);
+        }
+    }
+
     pub(super) fn on_task_updated(
         &mut self,
         id: RequestId,
@@ -36,10 +43,14 @@
         update: TaskUpdate,
     ) {
         self.on_contact(node);
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         let requested = request.spec.resources();
+        let reported = request.attempts.get_mut(usize::from(attempt));
+        if reported.is_some_and(|a| std::mem::replace(&mut a.is_unconfirmed, false)) {
+            self.remove_unconfirmed_load(node, requested);
+        }
         match update {
             TaskUpdate::Running => self.on_started(id, attempt),
             TaskUpdate::CoresUsed(used) => {
--- a/tests/scheduler/load_estimate.rs
+++ b/tests/scheduler/load_estimate.rs
@@ -117,6 +117,47 @@
     );
 }
 
+/// Guards against nodes that look full because clients have handed over tasks that no node runs.
+#[test]
+fn handed_over_tasks_that_a_node_does_not_report_do_not_exclude_it() {
+    let dispatched_with = |free_cores: f64, is_reported_on: bool| {
+        let mut scheduler = Scheduler::new(Settings::sample(), 3);
+        let node = NodeEntry {
+            free_cores: Some(free_cores),
+            free_memory: Some(2.0 * free_cores),
+            ..node_entry(1, 1)
+        };
+        // More than the sixteen cores of the node.
+        let handovers = (1..=40).map(|i| Event::RunningTask {
+            request: task(i, 0, i),
+            node: NodeId(1),
+        });
+        let mut events = vec![node_list(ListUpdateKind::Cached, 1, vec![node])];
+        events.extend(handovers);
+        if is_reported_on {
+            events.extend((1..=40).map(|i| Event::TaskUpdated {
+                request: RequestId(i),
+                attempt: 0,
+                node: NodeId(1),
+                update: TaskUpdate::Running,
+            }));
+        }
+        scheduler.handle(SECOND, &events);
+        let place: Vec<Event> = (100..104).map(|i| Event::Place(task(i, 0, i))).collect();
+        let first = dispatches(&scheduler.handle(SECOND + 1, &place)).len();
+        // Queued requests are tried again later.
+        first + dispatches(&scheduler.handle(2 * SECOND, &[Event::Timer(0)])).len()
+    };
+    assert_eq!(dispatched_with(16.0, false), 4, "the node reports no task");
+    assert_eq!(dispatched_with(0.0, false), 0, "the node reports as many");
+    assert_eq!(dispatched_with(2.0, false), 2, "two cores are free");
+    assert_eq!(
+        dispatched_with(16.0, true),
+        0,
+        "the node has reported on each task since the list was made"
+    );
+}
+
 #[test]
 fn a_list_from_before_a_takeover_does_not_count_the_running_tasks_again() {
     // Lists arrive with a delay: when the second list was created, the tasks were already running
