An id that may have run is not placed again after its client has left

Cause: the end of a connection forgets that attempts were made under its ids. Change: remembered ids fail at once where a second run does harm. When the system reports that a client has closed its connection its requests are cancelled at once and later ones dropped; releases and handovers take effect.

--- a/crates/cli/tests/serve/flood.rs
+++ b/crates/cli/tests/serve/flood.rs
@@ -2,7 +2,7 @@
 
 use crate::Cluster;
 use crate::support::TIMEOUT;
-use crate::support::peer::{request, request_with_attributes, test};
+use crate::support::peer::{Peer, request, request_with_attributes, test, tested};
 use peppercove_platform::wire::{Message, MessageKind, cause, code};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -61,6 +61,23 @@
     request_with_attributes(id, &format!("cores:1;memory:2;service:{id:016x}{figures}"))
 }
 
+/// As a node: waits for the request with this id. Skips other requests, and answers connection tests.
+fn receive_request(node: &mut Peer, id: u64, flood: &str) {
+    let deadline = Instant::now() + TIMEOUT;
+    loop {
+        assert!(
+            Instant::now() < deadline,
+            "{flood}: {id} did not reach the node"
+        );
+        let message = node.next().expect("the connection was closed");
+        match message.kind {
+            MessageKind::Test => node.send(&tested(message.id)),
+            _ if message.id == id => return,
+            _ => {}
+        }
+    }
+}
+
 /// Guards against a client that keeps all others waiting for as long as it sends: their requests are answered, and the
 /// messages of nodes and the timers handled, only when it stops. Also guards against requests that are rejected because of
 /// tasks that no node runs.
@@ -104,11 +121,7 @@
         let flood = Flood::start(cluster.controller.address, message);
         for number in 0..10 {
             client.request(10 + number, "any");
-            // The node may be sent withdrawn requests as well, and connection tests.
-            let deadline = Instant::now() + TIMEOUT;
-            while node.receive().id != 10 + number {
-                assert!(Instant::now() < deadline, "{name}: not sent to the node");
-            }
+            receive_request(&mut node, 10 + number, name);
             node.accept_task(10 + number, b"x");
             assert_eq!(client.receive().kind, MessageKind::Answer, "{name}");
         }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -158,6 +158,7 @@
             Input::EndpointWatchFailed => self.on_endpoint_watch_failed(),
             Input::ClientMessage(client, message) => self.on_client_message(client, message),
             Input::AdmitNext => self.admit_next(),
+            Input::ClientLeaving(client) => self.on_client_leaving(client),
             Input::ClientDisconnected(client) => self.on_client_disconnected(client),
             Input::ClientCount(open_clients) => self.on_client_count(open_clients),
             Input::NodeConnected(connection) => self.on_node_connected(connection),
--- a/crates/platform/src/engine/admission.rs
+++ b/crates/platform/src/engine/admission.rs
@@ -5,7 +5,7 @@
 use super::timers::Timer;
 use super::{ClientId, PlatformEngine};
 use crate::wire::{Message, cause};
-use peppercove::{Event, Micros, PlacementRequest};
+use peppercove::{Event, Idempotency, Micros, PlacementRequest};
 use peppercove_core::Decide;
 use peppercove_core::request_state::RequestState;
 
@@ -71,6 +71,11 @@
             }
             return;
         }
+        if self.may_run_twice(wire_id, request.class) {
+            self.counters.invalid += 1;
+            self.send_to_client(client, &Message::release(wire_id, cause::CUT));
+            return;
+        }
         if self.is_at_limit(client) {
             self.counters.over_limit += 1;
             self.reject(client, wire_id);
@@ -80,6 +85,14 @@
         self.admit(client, received_at, wire_id, request, payload);
     }
 
+    /// Whether a task with this id may have run, or may still be running, and a second run does harm. Clients use a new id
+    /// for each request, so only a faulty one sends an id again.
+    fn may_run_twice(&self, wire_id: u64, class: u16) -> bool {
+        let class = self.settings.classes.get(usize::from(class));
+        let is_idempotent = class.is_none_or(|c| c.idempotency == Idempotency::Idempotent);
+        !is_idempotent && self.requests.is_recent(wire_id)
+    }
+
     fn admit(
         &mut self,
         client: ClientId,
--- a/crates/platform/src/engine/clients.rs
+++ b/crates/platform/src/engine/clients.rs
@@ -21,6 +21,8 @@
     pub(super) has_confirmed_tasks: bool,
     /// Whether a handover on this connection is not tracked.
     pub(super) has_untracked_tasks: bool,
+    /// Whether the client has closed the connection, so that it receives no answers.
+    pub(super) is_leaving: bool,
     /// Notifications sent on this connection recently.
     pub(super) recent_notifications: VecDeque<SentNotification>,
 }
@@ -50,7 +52,13 @@
     /// from other clients from waiting until the whole burst is admitted. Handovers of running tasks must take effect
     /// immediately, and requests over a limit are rejected immediately; neither is queued.
     fn on_request_received(&mut self, client: ClientId, message: Message) {
-        if request_parsing::is_handover(&message) || self.is_at_limit(client) {
+        let is_handover = request_parsing::is_handover(&message);
+        let is_leaving = |client: &Client| client.is_leaving;
+        if !is_handover && self.clients.get(&client).is_some_and(is_leaving) {
+            self.counters.cancelled += 1;
+            return;
+        }
+        if is_handover || self.is_at_limit(client) {
             self.on_request(client, self.now, &message);
             return;
         }
@@ -113,6 +121,19 @@
         }
     }
 
+    /// Cancels the requests of a client that has closed its connection, although messages are left to read. Its releases
+    /// and handovers still take effect.
+    ///
+    /// Invariant: no request is placed for a client that has left.
+    pub(super) fn on_client_leaving(&mut self, client: ClientId) {
+        self.queue.remove_client(client);
+        let state = self.clients.entry(client).or_default();
+        state.is_leaving = true;
+        for request in state.open_requests.clone() {
+            self.cancel_request(request);
+        }
+    }
+
     pub(super) fn on_client_disconnected(&mut self, client: ClientId) {
         self.queue.remove_client(client);
         let Some(disconnected) = self.clients.remove(&client) else {
--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -43,6 +43,8 @@
     ClientMessage(ClientId, Message),
     /// Admit the next queued request.
     AdmitNext,
+    /// A client has closed its connection, on which messages are left to read.
+    ClientLeaving(ClientId),
     /// A client connection was closed.
     ClientDisconnected(ClientId),
     /// The number of open client connections.
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -8,6 +8,7 @@
 mod ambiguity;
 mod attempts;
 mod cancellation;
+mod client_departure;
 mod clients;
 mod connections;
 mod ends;
--- a/crates/runtime/src/connection.rs
+++ b/crates/runtime/src/connection.rs
@@ -147,6 +147,9 @@
     }
 
     fn on_ready(&mut self, ready: io::Result<Ready>) -> ControlFlow<CloseReason> {
+        if ready.as_ref().is_ok_and(|ready| ready.is_read_closed()) {
+            self.send_buffer.set_closed_by_peer();
+        }
         match ready {
             Ok(ready) if ready.is_readable() || ready.is_read_closed() => self.read(),
             Ok(_) => ControlFlow::Continue(()),
--- a/crates/runtime/src/connection/send_buffer.rs
+++ b/crates/runtime/src/connection/send_buffer.rs
@@ -51,6 +51,7 @@
     budget: Rc<SendBudget>,
     bytes_written: Cell<u64>,
     closing: Cell<Option<Closing>>,
+    is_closed_by_peer: Cell<bool>,
     changed: Notify,
     /// The stream to write to, while [`drive`](super::drive) runs.
     stream: RefCell<Weak<TcpStream>>,
@@ -73,6 +74,7 @@
             budget: budget.clone(),
             bytes_written: Cell::new(0),
             closing: Cell::new(None),
+            is_closed_by_peer: Cell::new(false),
             changed: Notify::new(),
             stream: RefCell::default(),
         }
@@ -153,6 +155,15 @@
         self.closing.get().is_some()
     }
 
+    /// Whether the peer has closed the connection. Messages that it sent before may be left to read.
+    pub fn is_closed_by_peer(&self) -> bool {
+        self.is_closed_by_peer.get()
+    }
+
+    pub(super) fn set_closed_by_peer(&self) {
+        self.is_closed_by_peer.set(true);
+    }
+
     /// Number of bytes that the operating system has accepted so far.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written.get()
--- a/crates/scale/src/hollow_scheduler.rs
+++ b/crates/scale/src/hollow_scheduler.rs
@@ -200,6 +200,7 @@
             | Input::EndpointEvents(_)
             | Input::EndpointWatchFailed
             | Input::AdmitNext
+            | Input::ClientLeaving(_)
             | Input::ClientDisconnected(_)
             | Input::ClientCount(_)
             | Input::NodeConnected(_)
--- a/crates/serve/src/clients.rs
+++ b/crates/serve/src/clients.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use peppercove_platform::{ClientId, Input};
 use peppercove_runtime::drive;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -46,8 +47,12 @@
     stream: TcpStream,
 ) {
     let stream = Rc::new(stream);
+    let is_leaving = Cell::new(false);
     let decode = |received: &mut BytesMut| {
         server.record_activity();
+        if connection.send_buffer.is_closed_by_peer() && !is_leaving.replace(true) {
+            server.handle(Input::ClientLeaving(id));
+        }
         decode_messages(&server, &connection, received, |message| {
             server.on_client_message(id, &connection, message);
         })
