Tasks at a reused address are cancelled before their clients are notified

Cause: a node that leaves the list is removed with its tasks, without a word to the process at its connections. Change: its tasks are cancelled over each established connection first. Left: a keyed retry within the scope of the former node, read in the code and not shown.

--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -132,12 +132,31 @@
         if !self.nodes.is_gone(node) {
             return;
         }
-        self.mark_all_tasks_lost(node);
         let connections = self.nodes.connections_of(node);
+        self.cancel_tasks_at_address(node, &connections);
+        self.mark_all_tasks_lost(node);
         self.outputs
             .extend(connections.into_iter().map(Output::Close));
         self.nodes.remove_if_gone(node);
     }
+
+    /// Cancels the tasks of a node that has left the list at the process to which its connections lead.
+    ///
+    /// Race: another node may have taken over the address before the list showed it. Tasks that were placed on these
+    /// connections then run there, and must not run on after their clients were notified that they ended.
+    fn cancel_tasks_at_address(&mut self, node: NodeId, connections: &[NodeConnectionId]) {
+        let is_connected = |connection: &NodeConnectionId| self.nodes.is_connected(*connection);
+        let connected: Vec<NodeConnectionId> =
+            connections.iter().copied().filter(is_connected).collect();
+        for id in self.nodes.running_tasks_on(node) {
+            let Some(wire_id) = self.requests.get(id).map(|request| request.wire_id) else {
+                continue;
+            };
+            for connection in &connected {
+                self.send_attempt_cancel(*connection, wire_id);
+            }
+        }
+    }
 }
 
 /// Whether any byte of a message at this offset may have reached the node.
--- a/crates/platform/tests/engine/node_list.rs
+++ b/crates/platform/tests/engine/node_list.rs
@@ -34,6 +34,28 @@
     assert!(out.contains(&Output::Close(NodeConnectionId(1))));
 }
 
+/// Guards against tasks that run on at a node which took over the address of one that has gone, although their clients
+/// were notified that they ended (review case 9).
+#[test]
+fn tasks_at_a_reused_address_are_cancelled_before_their_clients_are_notified() {
+    let mut harness = Harness::new();
+    harness.submit_and_place(5);
+    let gone = [node_json("a", 1, "left", 0)];
+    harness.input(Input::EndpointEvents(vec![list_event(2, false, &gone)]));
+    let out = harness.advance(2 * S);
+    assert_eq!(to_clients(&out), [(1, Message::release(5, cause::CUT))]);
+    let cancel = Output::Cancel(
+        NodeConnectionId(1),
+        Message::release(5, cause::ORDINARY).encode(),
+    );
+    let position = |searched: &Output| out.iter().position(|output| output == searched);
+    let (cancelled, closed) = (
+        position(&cancel),
+        position(&Output::Close(NodeConnectionId(1))),
+    );
+    assert!(cancelled.is_some() && cancelled < closed, "{out:?}");
+}
+
 #[test]
 fn list_updates_reach_the_scheduler_in_order() {
     let mut harness = Harness::new();
