--- a/crates/platform/src/engine/answers.rs
+++ b/crates/platform/src/engine/answers.rs
@@ -58,7 +58,7 @@
         request.payload = None;
         let client = request.client;
         let deadline_timer = request.deadline_timer.take();
-        self.cancel_timer(deadline_timer);
+        self.cancel_timers([deadline_timer]);
         self.remove_open_request(client, id);
         self.requests.mark_completed(id);
         if let Some(number) = dispatched {
--- a/crates/platform/src/engine/attempts.rs
+++ b/crates/platform/src/engine/attempts.rs
@@ -33,15 +33,7 @@
         let can_be_sent = request.state == RequestState::Pending
             && request.attempts.len() < self.settings.max_attempts as usize
             && send_by > self.now;
-        let attempt = Attempt {
-            node,
-            connection: NodeConnectionId(0),
-            state: AttemptState::Resolved,
-            expires_at,
-            send_by,
-            timeout_timer: None,
-            send_timer: None,
-        };
+        let attempt = Attempt::new(node, expires_at, send_by);
         let Some(attempt) = self.add_attempt(id, attempt) else {
             return;
         };
@@ -242,15 +234,13 @@
             return;
         };
         attempt.state = state;
-        let timeout_timer = attempt.timeout_timer.take();
-        let send_timer = attempt.send_timer.take();
+        let timers = attempt.take_timers();
         self.nodes.remove_attempt(attempt.connection, id);
         if !is_final {
             let transition = request.state.transition_to(RequestState::Pending);
             debug_assert!(transition.is_ok());
         }
-        self.cancel_timer(timeout_timer);
-        self.cancel_timer(send_timer);
+        self.cancel_timers(timers);
     }
 
     /// Reports the end of an attempt to the scheduler.
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -1,8 +1,8 @@
 //! Handover of running tasks by clients, for example after a restart of the controller.
 
 use super::notifications::TaskEvidence;
-use super::request::{Attempt, AttemptId, AttemptState, Request};
-use super::{ClientId, NodeConnectionId, PlatformEngine};
+use super::request::{Attempt, AttemptId, Request};
+use super::{ClientId, PlatformEngine};
 use crate::wire::cause;
 use peppercove::{AttemptOutcome, Event, NodeId, PlacementRequest, RequestId};
 use peppercove_core::Decide;
@@ -141,15 +141,7 @@
     ) {
         let (id, task) = (request.id, request.task);
         self.clients.entry(client).or_default().has_sent_request = true;
-        let attempt = Attempt {
-            node,
-            connection: NodeConnectionId(0),
-            state: AttemptState::Resolved,
-            expires_at: self.now,
-            send_by: self.now,
-            timeout_timer: None,
-            send_timer: None,
-        };
+        let attempt = Attempt::new(node, self.now, self.now);
         self.requests.insert(Request {
             wire_id,
             previous_wire_id: None,
--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -14,6 +14,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct NodeConnectionId(pub u64);
 
+impl NodeConnectionId {
+    /// The id of an attempt's connection before one is selected.
+    pub(super) const NONE: NodeConnectionId = NodeConnectionId(0);
+}
+
 /// How a connection to a node ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disconnect {
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -39,6 +39,26 @@
     pub(super) send_timer: Option<TimerId>,
 }
 
+impl Attempt {
+    /// Creates an attempt that has neither a connection nor timers.
+    pub(super) fn new(node: NodeId, expires_at: Micros, send_by: Micros) -> Attempt {
+        Attempt {
+            node,
+            connection: NodeConnectionId::NONE,
+            state: AttemptState::Resolved,
+            expires_at,
+            send_by,
+            timeout_timer: None,
+            send_timer: None,
+        }
+    }
+
+    /// Removes and returns the timers, which no longer apply.
+    pub(super) fn take_timers(&mut self) -> [Option<TimerId>; 2] {
+        [self.timeout_timer.take(), self.send_timer.take()]
+    }
+}
+
 /// Progress of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptState {
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -23,12 +23,10 @@
             return;
         };
         attempt.state = AttemptState::Resolved;
-        let timeout_timer = attempt.timeout_timer.take();
-        let send_timer = attempt.send_timer.take();
+        let timers = attempt.take_timers();
         self.nodes.remove_attempt(attempt.connection, id);
-        self.cancel_timer(deadline_timer);
-        self.cancel_timer(timeout_timer);
-        self.cancel_timer(send_timer);
+        self.cancel_timers([deadline_timer]);
+        self.cancel_timers(timers);
         self.remove_open_request(client, id.request);
         self.on_task_confirmed(client);
         self.events.push(Event::Placed {
--- a/crates/platform/src/engine/timers.rs
+++ b/crates/platform/src/engine/timers.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Cancels a timer that no longer applies, if there is one.
-    pub(super) fn cancel_timer(&mut self, timer: Option<TimerId>) {
-        if let Some(timer) = timer {
+    /// Cancels timers that no longer apply.
+    pub(super) fn cancel_timers(&mut self, timers: impl IntoIterator<Item = Option<TimerId>>) {
+        for timer in timers.into_iter().flatten() {
             self.timers.cancel(timer);
         }
     }
