Only tasks that a client alone has reported count as unconfirmed

Cause: the second look at nodes that seem full also passed over tasks that nodes had reported themselves, which a DRMAA controller takes over. It was wrong there: the node's word is what confirms a task. Change: a running task says who has reported it, the node or a client; only the platform engine's handovers are of clients, so that decisions of the DRMAA controller and on the simulator are as before.

--- a/crates/core/src/engine/adoption.rs
+++ b/crates/core/src/engine/adoption.rs
@@ -6,7 +6,7 @@
 use crate::attempt_log::{AttemptId, Completion, TaskCopy, TaskSpec};
 use crate::jobs::{Answer, JobId, JobState, TaskEnd};
 use crate::request_state::{Attempt, RequestEntry, RequestState};
-use peppercove::{Event, NodeId, RequestId};
+use peppercove::{Event, NodeId, RequestId, TaskReporter};
 use std::collections::BTreeMap;
 
 /// Current ids of adopted copies, by the previous id, which their nodes use until they have received the current one.
@@ -100,7 +100,11 @@
             attempts: vec![Attempt::new(node)],
         });
         self.transition(id, RequestState::Placed(0));
-        self.events.push(Event::RunningTask { request, node });
+        self.events.push(Event::RunningTask {
+            request,
+            node,
+            reported_by: TaskReporter::Node,
+        });
         id
     }
 
--- a/crates/core/src/engine/orphans.rs
+++ b/crates/core/src/engine/orphans.rs
@@ -4,7 +4,9 @@
 use crate::Decide;
 use crate::attempt_log::{AttemptId, Completion, TaskCopy, TaskSpec};
 use crate::jobs::TaskEnd;
-use peppercove::{AttemptOutcome, EndReason, Event, NodeId, PlacementRequest, RequestId};
+use peppercove::{
+    AttemptOutcome, EndReason, Event, NodeId, PlacementRequest, RequestId, TaskReporter,
+};
 use std::collections::BTreeMap;
 
 /// The orphans that the scheduler counts as running tasks, with the request id under which it knows each.
@@ -26,6 +28,7 @@
         self.events.push(Event::RunningTask {
             request,
             node: copy.attempt.node,
+            reported_by: TaskReporter::Node,
         });
     }
 
--- a/crates/fleet/src/node_subset/decide.rs
+++ b/crates/fleet/src/node_subset/decide.rs
@@ -83,7 +83,11 @@
                     self.push_subset_change(entries, forwarded);
                 }
             }
-            Event::RunningTask { request, node } => self.on_running_task(request, *node),
+            Event::RunningTask {
+                request,
+                node,
+                reported_by: _,
+            } => self.on_running_task(request, *node),
             Event::AttemptEnded {
                 request,
                 node,
--- a/crates/fleet/tests/beyond_subset.rs
+++ b/crates/fleet/tests/beyond_subset.rs
@@ -180,6 +180,7 @@
     driver.handle(Event::RunningTask {
         request: placement_request(request, 1, 9),
         node,
+        reported_by: TaskReporter::Client,
     });
 }
 
@@ -334,6 +335,7 @@
     let running = |(i, node): (u64, &NodeId)| Event::RunningTask {
         request: placement_request(i, 1, 7),
         node: *node,
+        reported_by: TaskReporter::Client,
     };
     let mut events: Vec<Event> = (0..).zip(&outside).map(running).collect();
     events.push(Event::Place(placement_request(1_000, 1, 7)));
--- a/crates/fleet/tests/common/cluster.rs
+++ b/crates/fleet/tests/common/cluster.rs
@@ -245,7 +245,13 @@
                 attempts,
             };
             self.members[index].requests.insert(id, tracked);
-            self.handle(index, Event::RunningTask { request, node });
+            let reported_by = TaskReporter::Node;
+            let running = Event::RunningTask {
+                request,
+                node,
+                reported_by,
+            };
+            self.handle(index, running);
         }
     }
 
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -4,7 +4,7 @@
 use super::request::{Attempt, AttemptId, Request};
 use super::{ClientId, PlatformEngine};
 use crate::wire::cause;
-use peppercove::{AttemptOutcome, Event, NodeId, PlacementRequest, RequestId};
+use peppercove::{AttemptOutcome, Event, NodeId, PlacementRequest, RequestId, TaskReporter};
 use peppercove_core::Decide;
 use peppercove_core::request_state::RequestState;
 
@@ -161,7 +161,11 @@
         let has_confirmed_tasks = self.has_confirmed_tasks(client);
         self.unconfirmed_handovers
             .insert(client, id, has_confirmed_tasks);
-        self.events.push(Event::RunningTask { request, node });
+        self.events.push(Event::RunningTask {
+            request,
+            node,
+            reported_by: TaskReporter::Client,
+        });
         self.track_running_task(node, id, task);
     }
 
--- a/crates/scale/src/roles/module/harness.rs
+++ b/crates/scale/src/roles/module/harness.rs
@@ -7,7 +7,7 @@
 use crate::workload::cluster::Cluster;
 use peppercove::{
     Action, AttemptOutcome, EndReason, Event, ListUpdateKind, Micros, NodeEntry, NodeId,
-    PlacementRequest, RequestId, Scheduler, ServiceId,
+    PlacementRequest, RequestId, Scheduler, ServiceId, TaskReporter,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -161,7 +161,12 @@
                 number: 0,
                 node,
             });
-            self.handle("standing", Event::RunningTask { request, node });
+            let running = Event::RunningTask {
+                request,
+                node,
+                reported_by: TaskReporter::Node,
+            };
+            self.handle("standing", running);
         }
     }
 
--- a/src/adapter_protocol/records.rs
+++ b/src/adapter_protocol/records.rs
@@ -4,7 +4,7 @@
 use super::cursor::Cursor;
 use crate::api::{
     AttemptOutcome, EndReason, Event, LoadReport, Micros, NodeEntry, NodeStatus, PlacementRequest,
-    RequestId, ServiceId, TaskKey, TaskUpdate,
+    RequestId, ServiceId, TaskKey, TaskReporter, TaskUpdate,
 };
 
 /// The parts of an instance's settings that describe its records: the fields that records contain,
@@ -196,7 +196,11 @@
         expected_duration,
         is_retry,
     };
-    Ok(Event::RunningTask { request, node })
+    Ok(Event::RunningTask {
+        request,
+        node,
+        reported_by: TaskReporter::Node,
+    })
 }
 
 fn expected_duration(flags: u8, duration: Micros) -> Option<Micros> {
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -5,6 +5,15 @@
     RequestId, TaskUpdate,
 };
 
+/// Who reports that a task runs on a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskReporter {
+    /// The node itself, or a caller that has verified it.
+    Node,
+    /// A client, whose report nothing confirms.
+    Client,
+}
+
 /// An input of the scheduler.
 ///
 /// The attempts of a request are numbered from 0 in the order of their
@@ -29,6 +38,8 @@
         request: PlacementRequest,
         /// The node on which it runs.
         node: NodeId,
+        /// Who has reported that it runs there.
+        reported_by: TaskReporter,
     },
     /// An attempt succeeded: its task is placed.
     Placed {
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -13,7 +13,7 @@
 mod settings;
 
 pub use action::Action;
-pub use event::Event;
+pub use event::{Event, TaskReporter};
 pub use ids::{Micros, NodeId, RequestId, ServiceId, TaskKey};
 pub use node::{ListUpdateKind, LoadReport, NodeEntry, NodeStatus};
 pub use outcome::{AttemptOutcome, EndReason, TaskUpdate};
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -193,7 +193,11 @@
                 self.on_node_list(*kind, *version, entries);
             }
             Event::Place(request) => self.on_place(request),
-            Event::RunningTask { request, node } => self.on_running_task(request, *node),
+            Event::RunningTask {
+                request,
+                node,
+                reported_by,
+            } => self.on_running_task(request, *node, *reported_by),
             Event::Placed {
                 request,
                 attempt,
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -1,6 +1,6 @@
 //! A request and its attempts.
 
-use crate::api::{Micros, NodeEntry, NodeId, PlacementRequest};
+use crate::api::{Micros, NodeEntry, NodeId, PlacementRequest, TaskReporter};
 
 /// State of a request.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -125,7 +125,7 @@
     pub(super) may_have_run: bool,
     /// Whether it ended with an error.
     pub(super) has_failed: bool,
-    /// Whether its task was handed over, and its node has not reported on it.
+    /// Whether only a client has reported that its task runs.
     pub(super) is_unconfirmed: bool,
 }
 
@@ -133,7 +133,9 @@
     pub(super) fn new(entry: &NodeEntry, sent_at: Micros, start: AttemptStart) -> Attempt {
         let (had_program, is_starting, is_unconfirmed) = match start {
             AttemptStart::Dispatched { has_program, .. } => (has_program, true, false),
-            AttemptStart::AlreadyRunning => (true, false, true),
+            AttemptStart::AlreadyRunning { reported_by } => {
+                (true, false, reported_by == TaskReporter::Client)
+            }
         };
         Attempt {
             node: entry.node,
@@ -161,5 +163,8 @@
         has_program: bool,
     },
     /// The task already runs on the node.
-    AlreadyRunning,
+    AlreadyRunning {
+        /// Who has reported that it runs there.
+        reported_by: TaskReporter,
+    },
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -308,6 +308,7 @@
             self.send(Event::RunningTask {
                 request: spec,
                 node,
+                reported_by: TaskReporter::Client,
             });
         } else {
             self.requests.insert(request, tracked);
--- a/tests/scheduler/filters.rs
+++ b/tests/scheduler/filters.rs
@@ -83,6 +83,7 @@
     let running_task = |i| Event::RunningTask {
         request: task(i, 1, 5),
         node: NodeId(70),
+        reported_by: TaskReporter::Client,
     };
     scheduler.handle(SECOND, &[running_task(1), running_task(2)]);
     assert!(dispatches(&scheduler.handle(SECOND, &[Event::Place(task(3, 1, 5))])).is_empty());
--- a/tests/scheduler/invalid_input.rs
+++ b/tests/scheduler/invalid_input.rs
@@ -34,6 +34,7 @@
     let running_task = Event::RunningTask {
         request: task(5, 99, 1),
         node: NodeId(0),
+        reported_by: TaskReporter::Client,
     };
     assert!(scheduler.handle(SECOND, &[running_task]).is_empty());
 }
--- a/tests/scheduler/load_estimate.rs
+++ b/tests/scheduler/load_estimate.rs
@@ -105,6 +105,7 @@
     let running_task = |i| Event::RunningTask {
         request: task(i, 0, 1),
         node: NodeId(1),
+        reported_by: TaskReporter::Client,
     };
     let mut events = vec![node_list(ListUpdateKind::Cached, 1, vec![partly_used])];
     events.extend((1..=12).map(running_task));
@@ -131,6 +132,7 @@
         let handovers = (1..=40).map(|i| Event::RunningTask {
             request: task(i, 0, i),
             node: NodeId(1),
+            reported_by: TaskReporter::Client,
         });
         let mut events = vec![node_list(ListUpdateKind::Cached, 1, vec![node])];
         events.extend(handovers);
@@ -176,6 +178,7 @@
     events.extend((1..=12).map(|i| Event::RunningTask {
         request: task(i, 0, 1),
         node: NodeId(1),
+        reported_by: TaskReporter::Client,
     }));
     scheduler.handle(SECOND, &events);
     let mut events = vec![node_list(ListUpdateKind::Full, 2, vec![partly_used])];
