Only id and cause are kept of the end of an untracked task

Reason: read again, the store of such ends kept the node's whole message, up to 16 KiB each and as many as tasks may run. Change: id and cause alone are kept.

--- a/crates/cli/tests/engine_memory.rs
+++ b/crates/cli/tests/engine_memory.rs
@@ -5,8 +5,8 @@
 use peppercove::{Micros, Scheduler};
 use peppercove_fleet::{NodeSubset, SubsetScheduler};
 use peppercove_platform::config::Config;
-use peppercove_platform::wire::{Message, cause};
-use peppercove_platform::{Bounds, ClientId, Input, Output, PlatformEngine};
+use peppercove_platform::wire::{Message, cause, code};
+use peppercove_platform::{Bounds, ClientId, Input, NodeConnectionId, Output, PlatformEngine};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use support::configuration::{Configuration, SETTINGS, list_entry, list_event, replaced};
 use support::peer::request_with_attributes;
@@ -181,3 +181,21 @@
         flood.assert_within_memory_limit();
     }
 }
+
+/// Guards against whole messages that are kept of tasks which are not tracked: only the end itself is needed.
+#[test]
+fn ends_of_unknown_tasks_stay_within_the_memory_limit() {
+    const REASON_BYTES: usize = 16_000;
+    let mut flood = Flood::new(SETTINGS);
+    // Opens connection 1.
+    flood.send(request_with_attributes(
+        1,
+        "cores:1;memory:2;service:aa;at:a",
+    ));
+    for id in 2..=5_000 {
+        let end = Message::release(id, cause::CUT).with(code::NOTE, &[b'x'; REASON_BYTES]);
+        flood.input(Input::NodeMessage(NodeConnectionId(1), end));
+    }
+    assert!(flood.engine.counters().unmatched > 0, "no end was handled");
+    flood.assert_within_memory_limit();
+}
--- a/crates/platform/src/engine/untracked_tasks.rs
+++ b/crates/platform/src/engine/untracked_tasks.rs
@@ -16,17 +16,20 @@
     /// Race: a node may report on an attempt after its request was answered. Such a report must not reach the client,
     /// which would take it for a second answer.
     pub(super) fn on_untracked_message(&mut self, node: NodeId, message: &Message) {
-        let is_end = message.kind == MessageKind::Release
-            && matches!(message.cause(), Some(cause::ORDINARY | cause::CUT));
-        if !is_end || self.requests.is_recent(message.id) {
+        let Some(cause @ (cause::ORDINARY | cause::CUT)) = message.cause() else {
+            return;
+        };
+        if message.kind != MessageKind::Release || self.requests.is_recent(message.id) {
             return;
         }
+        // Without the node's other parameters, which may be long and are not sent to clients.
+        let end = Message::release(message.id, cause);
         self.untracked_ends.remove_expired(self.now);
         let expires_at = self.now.saturating_add(self.bounds.notification_retention);
         let limit = self.bounds.running_tasks;
         let is_new = self
             .untracked_ends
-            .insert(node, message.clone(), expires_at, limit);
+            .insert(node, end.clone(), expires_at, limit);
         if !is_new {
             return;
         }
@@ -38,7 +41,7 @@
             .filter(may_own_untracked_tasks)
             .collect();
         for connection in connections {
-            self.notify_untracked_end(connection, message);
+            self.notify_untracked_end(connection, &end);
         }
     }
 
