Ends reach clients that have lost their connection on any connection they have or open

What callers saw: a client whose connection was closed, and that came back with new tasks, with a connection test alone or after the end, was not notified of the ends of its earlier tasks.

Cause: no message names the client of a task, but a notification without an open connection was sent to one chosen connection (latest_owner), and a client was recognized only by a message that refers to one of its old tasks. Ends of untracked tasks were kept in a second store with a rule of its own.

Change: one log of notifications whose client is not connected or not known, kept for 8 s. Each client connection has a position in it and is sent each of them once, those opened later included. Attributing tasks to connections by messages (latest_owner, on_owner_returned, task_owners, undelivered, untracked_ends) is removed. Related: MOVE, nodes that die, leave, restart or fall silent, untracked ends, connections closed again, reset, closed with unwritten ends or still being read; handovers of tasks that have ended. A notification is not sent on a connection that uses its id for a request. They are written in parts, and only on connections with nothing left to write; unread ones keep no connection from being closed.

Tests: engine notifications (11) and serve notifications (3). The tests in engine/clients.rs that asserted that ends go to one recognized connection are replaced, since that rule was the fault: - end_is_notified_on_a_later_..., client_that_refers_to_..., end_delivered_to_a_returning_..., end_sent_to_another_..., migration_is_notified_...: client_that_comes_back_is_notified_once_on_each_connection (7 causes, 8 first messages, before and after, closed again) - later_ends_follow_...: ends_reach_all_clients_that_have_come_back_with_new_tasks - notification_sent_just_before_...: end_that_may_be_lost_with_its_connection_is_sent_on_others - client_that_has_only_handed_over_...: ends_reach_their_client_although_others_have_handed_over_unknown_tasks - end_of_a_task_on_a_node_that_was_never_listed_goes_to_its_own_client_only: ..._reaches_its_client descriptors::connections_with_open_requests_... skips notifications of other clients' tasks: an end that crosses the close of its connection is now sent on all others, and the test took it for its answer.

--- a/crates/cli/tests/serve/descriptors.rs
+++ b/crates/cli/tests/serve/descriptors.rs
@@ -37,9 +37,9 @@
         client.request(id, "any");
         assert_eq!(node.receive().id, id);
         node.send(&Message::release(id, cause::ORDINARY).with(code::DESCRIPTION, b"ran"));
-        assert_eq!(client.receive().kind, MessageKind::Answer);
+        assert_eq!(client.receive_for(id).kind, MessageKind::Answer);
         clients.push(client);
     }
     node.accept_task(1000, b"x");
-    assert_eq!(first.receive().kind, MessageKind::Answer);
+    assert_eq!(first.receive_for(1000).kind, MessageKind::Answer);
 }
--- a/crates/cli/tests/serve/main.rs
+++ b/crates/cli/tests/serve/main.rs
@@ -6,6 +6,7 @@
 mod faulty_peers;
 mod flood;
 mod memory;
+mod notifications;
 mod replaced_nodes;
 mod requests;
 mod shutdown;
--- a/crates/cli/tests/serve/memory.rs
+++ b/crates/cli/tests/serve/memory.rs
@@ -6,7 +6,7 @@
 use peppercove_platform::wire::{Message, MessageKind, cause, code};
 
 /// Fails if the controller has ever used more memory than its configuration allows.
-fn assert_within_memory_limit(cluster: &Cluster) {
+pub fn assert_within_memory_limit(cluster: &Cluster) {
     let peak_kib = cluster.controller.peak_memory_kib();
     assert!(
         peak_kib < MEMORY_MB * 1024,
--- a/crates/cli/tests/support/peer.rs
+++ b/crates/cli/tests/support/peer.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// As a client: waits for the next message with this id. Skips notifications about tasks of other clients, which
+    /// clients ignore.
+    pub fn receive_for(&mut self, id: u64) -> Message {
+        loop {
+            let message = self.receive();
+            if message.id == id {
+                return message;
+            }
+            assert_eq!(message.kind, MessageKind::Release, "{message:?}");
+        }
+    }
+
     /// As a node: answers that the task of this request runs.
     pub fn accept_task(&mut self, id: u64, description: &[u8]) {
         self.send(&running(id, description));
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -26,8 +26,8 @@
 //! | `timers` | timer expiry |
 //!
 //! State is kept in `request` (requests and attempts), `node_connections` (nodes and connections), `fair_queue`
-//! (requests waiting for admission), `unconfirmed_handovers`, `task_owners`, `undelivered`, `untracked_ends`,
-//! `recent_ids`, `completion_backlog` and `timer_lag`. `attempt_matching` attributes messages to attempts, and
+//! (requests waiting for admission), `unconfirmed_handovers`, `notification_log`, `sent_notifications`, `recent_ids`,
+//! `completion_backlog` and `timer_lag`. `attempt_matching` attributes messages to attempts, and
 //! `request_parsing` parses message parameters.
 
 mod admission;
@@ -46,19 +46,18 @@
 mod node_connections;
 mod node_list;
 mod node_messages;
+mod notification_log;
 mod notifications;
 mod recent_ids;
 mod request;
 mod request_parsing;
 mod running_tasks;
 mod scheduling;
+mod sent_notifications;
 mod shutdown;
-mod task_owners;
 mod timer_lag;
 mod timers;
 mod unconfirmed_handovers;
-mod undelivered;
-mod untracked_ends;
 mod untracked_tasks;
 
 pub use bounds::Bounds;
@@ -69,17 +68,16 @@
 use completion_backlog::CompletionBacklog;
 use fair_queue::FairQueue;
 use node_connections::NodeConnections;
+use notification_log::NotificationLog;
 use peppercove::adapter_protocol::RecordSchema;
 use peppercove::{Event, Micros, Settings};
 use peppercove_core::{Decide, Timers};
 use request::RequestTable;
+use sent_notifications::SentNotifications;
 use std::collections::BTreeMap;
-use task_owners::TaskOwners;
 use timer_lag::TimerLag;
 use timers::Timer;
 use unconfirmed_handovers::UnconfirmedHandovers;
-use undelivered::UndeliveredNotifications;
-use untracked_ends::UntrackedEnds;
 
 const MICROS_PER_MILLI: Micros = 1000;
 
@@ -100,9 +98,8 @@
     queue: FairQueue,
     unconfirmed_handovers: UnconfirmedHandovers,
     completion_backlog: CompletionBacklog,
-    task_owners: TaskOwners,
-    undelivered: UndeliveredNotifications,
-    untracked_ends: UntrackedEnds,
+    notification_log: NotificationLog,
+    sent_notifications: SentNotifications,
     nodes: NodeConnections,
     timers: Timers<Timer>,
     timer_lag: TimerLag,
@@ -136,9 +133,8 @@
             queue: FairQueue::default(),
             unconfirmed_handovers: UnconfirmedHandovers::default(),
             completion_backlog: CompletionBacklog::default(),
-            task_owners: TaskOwners::default(),
-            undelivered: UndeliveredNotifications::default(),
-            untracked_ends: UntrackedEnds::default(),
+            notification_log: NotificationLog::default(),
+            sent_notifications: SentNotifications::default(),
             nodes: NodeConnections::new(seed),
             timers: Timers::default(),
             timer_lag: TimerLag::new(longest_deadline),
@@ -159,7 +155,10 @@
             Input::ClientMessage(client, message) => self.on_client_message(client, message),
             Input::AdmitNext => self.admit_next(),
             Input::ClientLeaving(client) => self.on_client_leaving(client),
-            Input::ClientDisconnected(client) => self.on_client_disconnected(client),
+            Input::ClientSilent(client) => self.on_client_active(client),
+            Input::SendNotifications(client) => self.send_notifications(client),
+            Input::ClientDisconnected(client) => self.on_client_disconnected(client, false),
+            Input::ClientBroken(client) => self.on_client_disconnected(client, true),
             Input::ClientCount(open_clients) => self.on_client_count(open_clients),
             Input::NodeConnected(connection) => self.on_node_connected(connection),
             Input::NodeMessage(connection, message) => self.on_node_message(connection, &message),
@@ -226,6 +225,6 @@
     pub fn has_sent_request(&self, client: ClientId) -> bool {
         self.clients
             .get(&client)
-            .is_some_and(|c| c.has_sent_request || c.owns_tasks)
+            .is_some_and(|c| c.has_sent_request)
     }
 }
--- a/crates/platform/src/engine/admission.rs
+++ b/crates/platform/src/engine/admission.rs
@@ -79,7 +79,7 @@
         if self.is_at_limit(client) {
             self.counters.over_limit += 1;
             self.reject(client, wire_id);
-            self.on_owner_active(client);
+            self.on_request_sent(client);
             return;
         }
         self.admit(client, received_at, wire_id, request, payload);
@@ -131,12 +131,7 @@
             ambiguous_end: None,
             pending_cancel: None,
         });
-        let task = placement.task;
         self.events.push(Event::Place(placement));
-        if let Some(ended) = self.undelivered.find_by_task(task) {
-            self.on_owner_returned(ended.client, client, ended.evidence);
-        }
-        self.on_owner_active(client);
     }
 
     pub(super) fn reject(&mut self, client: ClientId, wire_id: u64) {
--- a/crates/platform/src/engine/bounds.rs
+++ b/crates/platform/src/engine/bounds.rs
@@ -53,8 +53,10 @@
     pub health_check_timeout: Micros,
     /// Time after which tasks on a node that answers no health check and accepts no connection count as lost.
     pub unreachable_timeout: Micros,
-    /// How long a notification that could not be delivered is kept.
+    /// How long a notification that its client may not have received is kept.
     pub notification_retention: Micros,
+    /// Maximum number of these notifications.
+    pub kept_notifications: usize,
     /// Time without further messages after which an ambiguous end is attributed to the current attempt.
     pub ambiguity_timeout: Micros,
 }
@@ -71,8 +73,7 @@
         // rest is for connections to nodes.
         let client_connections = config.limits.sockets / 3 * 2;
         let connections = config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS);
-        // One KiB per task, in an eighth of the memory. A task beyond this limit is not tracked, and no client is notified
-        // of its end.
+        // One KiB per task, in an eighth of the memory. A task beyond this limit is not tracked.
         let running_tasks = (memory_kib / 8).max(MIN_RUNNING_TASKS);
         Bounds {
             open_requests,
@@ -91,6 +92,8 @@
             health_check_timeout: 0,
             unreachable_timeout: MAX_UNREPORTED_END_DELAY / 2,
             notification_retention: MAX_UNREPORTED_END_DELAY,
+            // All running tasks may end at once, just after others.
+            kept_notifications: running_tasks * 2,
             ambiguity_timeout: MAX_REPORTED_END_DELAY / 2,
         }
         .with_dial_timeout(config.dial_timeout())
--- a/crates/platform/src/engine/clients.rs
+++ b/crates/platform/src/engine/clients.rs
@@ -1,34 +1,32 @@
 //! Client messages and client connections.
 
-use super::notifications::SentNotification;
 use super::{ClientId, Output, PlatformEngine, request_parsing};
 use crate::wire::{Message, MessageKind, cause, code};
 use peppercove::{AttemptOutcome, RequestId};
 use peppercove_core::Decide;
 use peppercove_core::request_state::RequestState;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 /// State of a client connection.
 #[derive(Debug, Default)]
 pub(super) struct Client {
     /// Admitted requests without an answer.
     pub(super) open_requests: BTreeSet<RequestId>,
-    /// Whether a valid request was received on this connection.
+    /// Whether a valid request, or the release of a task, was received on this connection.
     pub(super) has_sent_request: bool,
-    /// Whether the client has shown on this connection that it owns tasks.
-    pub(super) owns_tasks: bool,
     /// Whether a node has sent a message about a task of this connection.
     pub(super) has_confirmed_tasks: bool,
-    /// Whether a handover on this connection is not tracked.
-    pub(super) has_untracked_tasks: bool,
     /// Whether the client has closed the connection, so that it receives no answers.
     pub(super) is_leaving: bool,
-    /// Notifications sent on this connection recently.
-    pub(super) recent_notifications: VecDeque<SentNotification>,
+    /// Sequence number of the first logged notification that was not sent on this connection.
+    pub(super) next_notification: u64,
+    /// Ids that the client uses for other requests or tasks than the logged notifications with these ids are about.
+    pub(super) reused_ids: BTreeSet<u64>,
 }
 
 impl<D: Decide> PlatformEngine<D> {
     pub(super) fn on_client_message(&mut self, client: ClientId, message: Message) {
+        self.on_client_active(client);
         match message.kind {
             MessageKind::SetUp => self.on_request_received(client, message),
             MessageKind::Test => {
@@ -53,6 +51,9 @@
     /// immediately, and requests over a limit are rejected immediately; neither is queued.
     fn on_request_received(&mut self, client: ClientId, message: Message) {
         let is_handover = request_parsing::is_handover(&message);
+        if !is_handover {
+            self.on_id_used(client, message.id);
+        }
         let is_leaving = |client: &Client| client.is_leaving;
         if !is_handover && self.clients.get(&client).is_some_and(is_leaving) {
             self.counters.cancelled += 1;
@@ -87,10 +88,6 @@
     fn on_client_release(&mut self, client: ClientId, message: &Message) {
         self.cancel_queued(client, message.id);
         let Some((id, request)) = self.requests.find(message.id) else {
-            // The client ends a task that has ended already. It need not be notified of that end any more.
-            if let Some(ended) = self.undelivered.remove(message.id) {
-                self.on_owner_returned(ended.client, client, ended.evidence);
-            }
             return;
         };
         match request.state {
@@ -101,15 +98,14 @@
             RequestState::Pending | RequestState::Dispatched(_) | RequestState::Completed => {}
             // A running task does not belong to a connection. A client that ends its task is not notified of the end.
             RequestState::Placed(_) => {
-                let (owner, evidence) = (request.client, self.evidence_of(request));
                 let cause = message.cause().unwrap_or(cause::ORDINARY);
                 self.cancel_task(id, AttemptOutcome::Cancelled, cause);
-                self.on_owner_returned(owner, client, evidence);
+                self.on_request_sent(client);
             }
         }
     }
 
-    /// Cancels the requests with this id that are queued. The client owns tasks if they are valid.
+    /// Cancels the requests with this id that are queued.
     fn cancel_queued(&mut self, client: ClientId, wire_id: u64) {
         let cancelled = self.queue.cancel(client, wire_id);
         if cancelled.is_empty() {
@@ -117,7 +113,7 @@
         }
         self.counters.cancelled += 1;
         if cancelled.iter().any(|message| self.is_valid(message)) {
-            self.on_owner_active(client);
+            self.on_request_sent(client);
         }
     }
 
@@ -126,15 +122,17 @@
     ///
     /// Invariant: no request is placed for a client that has left.
     pub(super) fn on_client_leaving(&mut self, client: ClientId) {
+        self.on_client_active(client);
         self.queue.remove_client(client);
         let state = self.clients.entry(client).or_default();
         state.is_leaving = true;
         for request in state.open_requests.clone() {
             self.cancel_request(request);
         }
+        self.log_lost_notifications(client, false);
     }
 
-    pub(super) fn on_client_disconnected(&mut self, client: ClientId) {
+    pub(super) fn on_client_disconnected(&mut self, client: ClientId, is_broken: bool) {
         self.queue.remove_client(client);
         let Some(disconnected) = self.clients.remove(&client) else {
             return;
@@ -142,17 +140,12 @@
         for request in disconnected.open_requests {
             self.cancel_request(request);
         }
-        // Race: a notification sent just before its connection is closed may never be received, and the client would
-        // believe that the task is still running. Recent notifications are sent again on another connection. Nodes
-        // report task ends twice for the same reason.
-        for sent in disconnected.recent_notifications {
-            let retry_until = sent
-                .sent_at
-                .saturating_add(self.bounds.health_check_timeout);
-            if retry_until > self.now {
-                self.notify(sent.notification);
-            }
-        }
+        self.log_lost_notifications(client, is_broken);
+    }
+
+    /// Records that a client has sent a valid request, or the release of a task.
+    pub(super) fn on_request_sent(&mut self, client: ClientId) {
+        self.clients.entry(client).or_default().has_sent_request = true;
     }
 
     /// Adjusts the limit of node connections, which may use the descriptors that client connections do not need.
--- a/crates/platform/src/engine/counters.rs
+++ b/crates/platform/src/engine/counters.rs
@@ -23,6 +23,8 @@
     pub cancelled: u64,
     /// Notifications that a task has ended.
     pub notified: u64,
+    /// Notifications that were dropped before all clients were sent them, because too many were kept.
+    pub notifications_dropped: u64,
     /// Messages from nodes that belong to no open attempt and no running task.
     pub unmatched: u64,
     /// Tasks lost because their node ended or became unreachable.
--- a/crates/platform/src/engine/fair_queue.rs
+++ b/crates/platform/src/engine/fair_queue.rs
@@ -143,6 +143,14 @@
             .is_some_and(|queue| queue.iter().any(|entry| entry.message.id == wire_id))
     }
 
+    /// The clients that have a queued request with this id.
+    pub(super) fn clients_with(&self, wire_id: u64) -> Vec<ClientId> {
+        let clients = self.queues.keys().copied();
+        clients
+            .filter(|client| self.contains(*client, wire_id))
+            .collect()
+    }
+
     /// Number of queued requests of a client.
     pub(super) fn len_of(&self, client: ClientId) -> usize {
         self.queues.get(&client).map_or(0, VecDeque::len)
--- a/crates/platform/src/engine/handover.rs
+++ b/crates/platform/src/engine/handover.rs
@@ -1,6 +1,5 @@
 //! Handover of running tasks by clients, for example after a restart of the controller.
 
-use super::notifications::TaskEvidence;
 use super::request::{Attempt, AttemptId, Request};
 use super::{ClientId, PlatformEngine};
 use crate::wire::cause;
@@ -19,46 +18,28 @@
         wire_id: u64,
         request: PlacementRequest,
         node_name: &str,
-    ) {
-        self.clients.entry(client).or_default();
-        self.track_handover(client, wire_id, request, node_name);
-        if let Some(node) = self.nodes.find_by_name(node_name) {
-            self.apply_untracked_end(client, wire_id, node);
-        }
-    }
-
-    fn track_handover(
-        &mut self,
-        client: ClientId,
-        wire_id: u64,
-        request: PlacementRequest,
-        node_name: &str,
     ) {
         let node = self.nodes.find_by_name(node_name);
-        if let Some((_, existing)) = self.requests.find(wire_id) {
+        if self.requests.find(wire_id).is_some() {
             // A task that is known under this id is handed over again, for example over a new connection.
-            let placed = existing.placed_attempt().and_then(|n| existing.attempt(n));
-            let is_same_task = existing.task == request.task
-                && placed.is_some_and(|attempt| Some(attempt.node) == node);
-            if is_same_task {
-                let evidence = self.evidence_of(existing);
-                self.on_owner_returned(existing.client, client, evidence);
-            }
             return;
         }
         let tracked = node.and_then(|node| self.nodes.find_running_task(node, request.task));
         if let Some(tracked) = tracked {
             self.change_task_id(tracked, client, wire_id);
-        } else if self.make_room_for_handover(client, node.is_some()) {
+            return;
+        }
+        let node_id = self.nodes.id_for_name(node_name);
+        if self.notify_ended_handover(client, wire_id, node_id, request.task) {
+            return;
+        }
+        if self.make_room_for_handover(client, node.is_some()) {
             // Invariant: a node that is not listed is stored only together with a task on it.
             let node = self.nodes.find_or_create(node_name);
-            let task = request.task;
             self.adopt_task(client, wire_id, request, node);
-            if let Some(ended) = self.undelivered.find_by_task(task) {
-                self.on_owner_returned(ended.client, client, ended.evidence);
-            }
+            self.on_id_used(client, wire_id);
         } else {
-            self.on_handover_dropped(client);
+            self.counters.handovers_dropped += 1;
         }
     }
 
@@ -99,15 +80,12 @@
 
     /// Stops tracking a task that no node has confirmed.
     fn drop_handover(&mut self, id: RequestId) {
-        let client = self.requests.get(id).map(|request| request.client);
         let attempt = AttemptId {
             request: id,
             number: 0,
         };
         self.untrack_task(attempt, AttemptOutcome::Cancelled.into());
-        if let Some(client) = client {
-            self.on_handover_dropped(client);
-        }
+        self.counters.handovers_dropped += 1;
     }
 
     /// Records that a node has sent a message about a task, which shows that the task exists.
@@ -115,10 +93,7 @@
         let request = self.requests.get_mut(id);
         if let Some(client) = request.and_then(|request| request.unconfirmed_from.take()) {
             self.unconfirmed_handovers.remove(client, id);
-            if self.clients.contains_key(&client) {
-                self.on_owner_active(client);
-                self.on_task_confirmed(client);
-            }
+            self.on_task_confirmed(client);
         }
     }
 
@@ -180,17 +155,11 @@
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        let owner = std::mem::replace(&mut request.client, client);
-        let is_being_cancelled = request.pending_cancel.is_some();
-        self.task_owners.remove(owner, id);
-        self.task_owners.insert(client, id);
-        if is_being_cancelled {
+        request.client = client;
+        if request.pending_cancel.is_some() {
             // The cancellation continues, and the client must be notified of it under the new id as well.
             self.notify_end(id, cause::CUT);
             self.deliver_cancel(id);
         }
-        let evidence = self.requests.get(id).map(|r| self.evidence_of(r));
-        let evidence = evidence.unwrap_or(TaskEvidence::Unsupported);
-        self.on_owner_returned(owner, client, evidence);
     }
 }
--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -50,8 +50,14 @@
     AdmitNext,
     /// A client has closed its connection, on which messages are left to read.
     ClientLeaving(ClientId),
+    /// A client connection is open, on which nothing has been received yet.
+    ClientSilent(ClientId),
+    /// A client connection can take more bytes: send the notifications that it has not been sent yet.
+    SendNotifications(ClientId),
     /// A client connection was closed.
     ClientDisconnected(ClientId),
+    /// A client connection broke, or was closed before everything sent on it was written.
+    ClientBroken(ClientId),
     /// The number of open client connections.
     ClientCount(usize),
     /// A connection to a node was established.
@@ -76,6 +82,12 @@
 pub enum Output {
     /// Send a message to a client.
     SendToClient(ClientId, Bytes),
+    /// Send a logged notification to a client. It is sent on other connections, too, so that the connection may be closed
+    /// before it is written.
+    SendNotification(ClientId, Bytes),
+    /// Call [`PlatformEngine::clients_to_notify`](super::PlatformEngine::clients_to_notify): there may be notifications
+    /// that client connections have not been sent.
+    NotificationsPending,
     /// Open a connection to a node.
     Connect(NodeConnectionId, SocketAddr),
     /// Send a message to a node.
--- a/crates/platform/src/engine/node_connections/listed_nodes.rs
+++ b/crates/platform/src/engine/node_connections/listed_nodes.rs
@@ -116,7 +116,7 @@
 impl NodeConnections {
     /// Returns the id that a node with this name has or would get. Every controller must compute the same id, because
     /// the scheduler ranks preferred nodes by it.
-    fn id_for_name(&self, name: &str) -> NodeId {
+    pub(in crate::engine) fn id_for_name(&self, name: &str) -> NodeId {
         let mut id = NodeId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
         while self.nodes.get(&id).is_some_and(|node| node.name != name) {
             // The hash collides with that of another name: the later name takes the next id.
--- a/crates/platform/src/engine/notifications.rs
+++ b/crates/platform/src/engine/notifications.rs
@@ -1,188 +1,203 @@
 //! Notifies clients that their tasks have ended or are migrated.
 //!
-//! The platform has no client ids, and running tasks do not belong to a connection. A client that comes back over a new
-//! connection is recognized by any message that refers to one of its tasks: a release, a handover, or a request with the
-//! name of a task whose end it has not been notified of. Its tasks and the notifications kept for it then move to that
-//! connection.
-//!
-//! A notification whose client is not connected is sent to another client that owns tasks, since it may be the same
-//! client on a connection that has not referred to an old task yet. It is also kept for the client itself. Connections
-//! that have not shown that they own tasks get nothing.
+//! A notification is sent on the connection on which the task was requested or handed over. If that connection is closed,
+//! or the task is not tracked, its client cannot be told from others: the notification is logged, and sent to all client
+//! connections, those that are opened while it is kept included. Clients ignore notifications about tasks that they do
+//! not know.
 
+use super::clients::Client;
+use super::notification_log::{Audience, LoggedNotification};
 use super::request::Request;
-use super::undelivered::Recipient;
+use super::sent_notifications::SentNotification;
 use super::{ClientId, Output, PlatformEngine};
 use crate::wire::{Message, MessageKind};
-use bytes::Bytes;
-use peppercove::{Micros, RequestId, TaskKey};
+use peppercove::{NodeId, RequestId};
 use peppercove_core::Decide;
 
-/// How a task is known to exist.
+/// Maximum number of logged notifications that are sent on a connection before what was sent earlier must be written.
+const NOTIFICATIONS_PER_SEND: usize = 256;
+/// Maximum number of ids that are remembered of a connection because logged notifications have them. Well-behaved clients
+/// use each id once.
+const MAX_REUSED_IDS: usize = 64;
+
+/// What a client is notified of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum TaskEvidence {
-    /// A node has sent a message about it.
-    Confirmed,
-    /// A client has handed it over, and its node is listed.
-    ListedNode,
-    /// A client has handed it over, and its node has never been listed.
-    Unsupported,
+pub(super) enum NotificationKind {
+    /// The task has ended, with this cause.
+    Ended(u8),
+    /// The task is going to end, and its client should request a new placement.
+    Migrating,
 }
 
 /// A notification about a task that was running.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Notification {
-    /// The client connection that owns the task. It may be closed.
-    pub(super) client: ClientId,
     pub(super) wire_id: u64,
-    pub(super) task: TaskKey,
-    pub(super) evidence: TaskEvidence,
-    pub(super) frame: Bytes,
+    pub(super) kind: NotificationKind,
 }
 
-/// A notification that was sent on a connection.
-#[derive(Debug)]
-pub(super) struct SentNotification {
-    pub(super) sent_at: Micros,
-    pub(super) notification: Notification,
+impl Notification {
+    fn message(self) -> Message {
+        match self.kind {
+            NotificationKind::Ended(cause) => Message::release(self.wire_id, cause),
+            NotificationKind::Migrating => Message::new(MessageKind::Move, self.wire_id),
+        }
+    }
 }
 
 impl<D: Decide> PlatformEngine<D> {
+    /// The client connections that have not been sent all logged notifications. Each of them needs an
+    /// [`Input::SendNotifications`](super::Input::SendNotifications).
+    pub fn clients_to_notify(&self) -> Vec<ClientId> {
+        let end = self.notification_log.end();
+        let has_pending = self
+            .clients
+            .iter()
+            .filter(|(_, client)| client.next_notification < end);
+        has_pending.map(|(id, _)| *id).collect()
+    }
+
     /// Notifies the client of a task that the task has ended.
     pub(super) fn notify_end(&mut self, request: RequestId, cause: u8) {
         self.counters.notified += 1;
-        self.notify_about(request, |wire_id| Message::release(wire_id, cause));
+        self.notify_about(request, NotificationKind::Ended(cause));
     }
 
     /// Asks the client of a task to request a new placement, because the task is going to end.
     pub(super) fn notify_migration(&mut self, request: RequestId) {
-        self.notify_about(request, |wire_id| Message::new(MessageKind::Move, wire_id));
+        self.notify_about(request, NotificationKind::Migrating);
     }
 
-    fn notify_about(&mut self, id: RequestId, message: impl FnOnce(u64) -> Message) {
+    fn notify_about(&mut self, id: RequestId, kind: NotificationKind) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        self.notify(Notification {
-            client: request.client,
-            wire_id: request.wire_id,
-            task: request.task,
-            evidence: self.evidence_of(request),
-            frame: message(request.wire_id).encode(),
-        });
-    }
-
-    pub(super) fn evidence_of(&self, request: &Request) -> TaskEvidence {
-        if request.unconfirmed_from.is_none() {
-            return TaskEvidence::Confirmed;
-        }
-        let placed = request.placed_attempt().and_then(|n| request.attempt(n));
-        match placed.is_some_and(|attempt| self.nodes.has_address(attempt.node)) {
-            true => TaskEvidence::ListedNode,
-            false => TaskEvidence::Unsupported,
-        }
+        let Some(node) = last_node(request) else {
+            return;
+        };
+        let client = request.client;
+        let logged = LoggedNotification {
+            notification: Notification {
+                wire_id: request.wire_id,
+                kind,
+            },
+            audience: Audience::AllClients,
+            node,
+            task: Some(request.task),
+        };
+        self.notify(client, logged);
     }
 
-    /// Sends a notification to its client, or else to another client that owns tasks. Unless it was sent to the client
-    /// itself, it is kept until that client comes back.
-    pub(super) fn notify(&mut self, notification: Notification) {
-        if self.clients.contains_key(&notification.client) {
-            self.send_notification(notification.client, notification);
+    /// Sends a notification to the connection of its client, or to all connections if that one is closed.
+    pub(super) fn notify(&mut self, client: ClientId, logged: LoggedNotification) {
+        let is_connected = |client: &Client| !client.is_leaving;
+        if !self.clients.get(&client).is_some_and(is_connected) {
+            self.log_notification(logged);
             return;
         }
-        let concerns_others = notification.evidence != TaskEvidence::Unsupported;
-        let recipient = match self.latest_owner() {
-            _ if !concerns_others => Recipient::OwnClient { sent_on: None },
-            None => Recipient::AnyOwner,
-            Some(connection) => {
-                self.send_notification(connection, notification.clone());
-                Recipient::OwnClient {
-                    sent_on: Some(connection),
-                }
-            }
+        let oldest_kept = self.now.saturating_sub(self.bounds.notification_retention);
+        self.sent_notifications.remove_older_than(oldest_kept);
+        let sent = SentNotification {
+            sent_at: self.now,
+            logged,
         };
-        self.keep_undelivered(notification, recipient);
+        self.sent_notifications
+            .insert(client, sent, self.bounds.kept_notifications);
+        self.send_to_client(client, &logged.notification.message());
     }
 
-    /// Sends a notification on an open connection.
-    fn send_notification(&mut self, connection: ClientId, notification: Notification) {
-        let frame = notification.frame.clone();
-        if let Some(client) = self.clients.get_mut(&connection) {
-            let oldest_kept = self.now.saturating_sub(self.bounds.health_check_timeout);
-            let recent = &mut client.recent_notifications;
-            recent.retain(|sent| sent.sent_at > oldest_kept);
-            recent.push_back(SentNotification {
-                sent_at: self.now,
-                notification,
-            });
+    /// Keeps a notification for all client connections that are open or are opened in time.
+    pub(super) fn log_notification(&mut self, logged: LoggedNotification) {
+        self.notification_log.remove_expired(self.now);
+        let expires_at = self.now.saturating_add(self.bounds.notification_retention);
+        let limit = self.bounds.kept_notifications;
+        self.counters.notifications_dropped +=
+            self.notification_log.append(logged, expires_at, limit);
+        let wire_id = logged.notification.wire_id;
+        for connection in self.connections_using(wire_id) {
+            self.on_id_used(connection, wire_id);
         }
-        self.outputs.push(Output::SendToClient(connection, frame));
-    }
-
-    /// The latest open connection of a client that owns tasks.
-    fn latest_owner(&self) -> Option<ClientId> {
-        let mut latest_first = self.clients.iter().rev();
-        latest_first
-            .find(|(_, client)| client.owns_tasks)
-            .map(|(id, _)| *id)
+        self.outputs.push(Output::NotificationsPending);
     }
 
-    /// Keeps a notification until its client comes back.
-    ///
-    /// Since each notification is about a task that ran, their number is limited to the number of tasks that may run.
-    /// Beyond that the oldest notification is dropped, and no client learns of that end.
-    fn keep_undelivered(&mut self, notification: Notification, recipient: Recipient) {
-        let expires_at = self.now.saturating_add(self.bounds.notification_retention);
-        let limit = self.bounds.running_tasks;
-        self.undelivered.remove_expired(self.now);
-        self.undelivered
-            .insert(notification, recipient, expires_at, limit);
+    /// Records that a client connection is in use. A new one is sent the logged notifications.
+    pub(super) fn on_client_active(&mut self, client: ClientId) {
+        if self.clients.contains_key(&client) {
+            return;
+        }
+        self.clients.entry(client).or_default();
+        self.notification_log.remove_expired(self.now);
+        if !self.notification_log.is_empty() {
+            self.outputs.push(Output::NotificationsPending);
+        }
     }
 
-    /// Records that a client owns tasks, because it has sent a valid request or referred to a task. Sends it the
-    /// notifications that were not sent to any client.
-    pub(super) fn on_owner_active(&mut self, connection: ClientId) {
-        let client = self.clients.entry(connection).or_default();
-        if !std::mem::replace(&mut client.owns_tasks, true) {
-            self.notify_untracked_ends(connection);
+    /// Sends the next logged notifications on a client connection.
+    pub(super) fn send_notifications(&mut self, connection: ClientId) {
+        self.notification_log.remove_expired(self.now);
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        let from = client.next_notification;
+        client.next_notification = self.notification_log.advance(from, NOTIFICATIONS_PER_SEND);
+        let reused_ids = client.reused_ids.clone();
+        if client.next_notification == self.notification_log.end() {
+            client.reused_ids.clear();
         }
-        self.undelivered.remove_expired(self.now);
-        for notification in self.undelivered.take_for_any_owner() {
-            self.send_notification(connection, notification.clone());
-            let recipient = Recipient::OwnClient {
-                sent_on: Some(connection),
-            };
-            self.keep_undelivered(notification, recipient);
+        let notifications = self
+            .notification_log
+            .for_all_clients(from, NOTIFICATIONS_PER_SEND);
+        for notification in notifications {
+            if !reused_ids.contains(&notification.wire_id) {
+                let frame = notification.message().encode();
+                self.outputs
+                    .push(Output::SendNotification(connection, frame));
+            }
         }
     }
 
-    /// Records that a message on `connection` refers to a task of `client`. If the connection of `client` is closed,
-    /// its tasks and the notifications kept for it move to this connection. A task that only a client has mentioned does
-    /// not show that the client owns any.
-    pub(super) fn on_owner_returned(
-        &mut self,
-        client: ClientId,
-        connection: ClientId,
-        evidence: TaskEvidence,
-    ) {
-        if client != connection && !self.clients.contains_key(&client) {
-            self.clients.entry(connection).or_default();
-            self.move_tasks(client, connection);
-            self.undelivered.remove_expired(self.now);
-            for mut notification in self.undelivered.take_of_client(client, connection) {
-                notification.client = connection;
-                self.send_notification(connection, notification);
+    /// Logs the notifications that may be lost with a closed connection.
+    ///
+    /// Race: a notification sent just before its connection is closed may never be received, and the client would
+    /// believe that the task is still running. If the connection broke, that holds for all notifications sent on it.
+    /// Nodes report task ends twice for the same reason.
+    pub(super) fn log_lost_notifications(&mut self, client: ClientId, is_broken: bool) {
+        for sent in self.sent_notifications.take(client) {
+            let received_by = sent
+                .sent_at
+                .saturating_add(self.bounds.health_check_timeout);
+            if is_broken || received_by > self.now {
+                self.log_notification(sent.logged);
             }
         }
-        if evidence == TaskEvidence::Confirmed {
-            self.on_owner_active(connection);
-        }
     }
 
-    fn move_tasks(&mut self, from: ClientId, to: ClientId) {
-        for id in self.task_owners.move_all(from, to) {
-            if let Some(request) = self.requests.get_mut(id) {
-                request.client = to;
-            }
+    /// Records that a client uses an id on this connection for another request or task. It would take a logged
+    /// notification with that id for a message about this one.
+    pub(super) fn on_id_used(&mut self, connection: ClientId, wire_id: u64) {
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        let is_logged = self
+            .notification_log
+            .contains_since(client.next_notification, wire_id);
+        if is_logged && client.reused_ids.len() < MAX_REUSED_IDS {
+            client.reused_ids.insert(wire_id);
         }
     }
+
+    /// The client connections on which a request with this id is open.
+    fn connections_using(&self, wire_id: u64) -> Vec<ClientId> {
+        let admitted = self.requests.find(wire_id);
+        let admitted = admitted.filter(|(_, request)| request.state.is_open());
+        let mut connections = self.queue.clients_with(wire_id);
+        connections.extend(admitted.map(|(_, request)| request.client));
+        connections
+    }
+}
+
+/// The node of the attempt that placed the task, or of the last attempt.
+fn last_node(request: &Request) -> Option<NodeId> {
+    let placed = request.placed_attempt().and_then(|n| request.attempt(n));
+    placed.or(request.attempts.last()).map(|a| a.node)
 }
--- a/crates/platform/src/engine/running_tasks.rs
+++ b/crates/platform/src/engine/running_tasks.rs
@@ -39,9 +39,6 @@
 
     /// Starts tracking a task that runs on this node.
     pub(super) fn track_running_task(&mut self, node: NodeId, request: RequestId, task: TaskKey) {
-        if let Some(client) = self.requests.get(request).map(|r| r.client) {
-            self.task_owners.insert(client, request);
-        }
         self.nodes.add_running_task(node, request, task);
         self.start_monitoring(node);
         self.ensure_connection(node);
@@ -66,8 +63,6 @@
             return;
         };
         let unconfirmed_from = request.unconfirmed_from.take();
-        let owner = request.client;
-        self.task_owners.remove(owner, id.request);
         self.requests.mark_completed(id.request);
         if let Some(client) = unconfirmed_from {
             self.unconfirmed_handovers.remove(client, id.request);
--- a/crates/platform/tests/engine/fixtures.rs
+++ b/crates/platform/tests/engine/fixtures.rs
@@ -31,6 +31,7 @@
         health_check_timeout: S,
         unreachable_timeout: 4 * S,
         notification_retention: 8 * S,
+        kept_notifications: 100,
         ambiguity_timeout: 500 * MS,
     }
 }
--- a/crates/platform/tests/engine/harness.rs
+++ b/crates/platform/tests/engine/harness.rs
@@ -73,9 +73,19 @@
         while self.engine.has_queued_requests() {
             outputs.extend(self.engine.handle(self.now, Input::AdmitNext));
         }
+        self.send_notifications(&mut outputs);
         outputs
     }
 
+    /// Lets all connections take the notifications that they have not been sent.
+    fn send_notifications(&mut self, outputs: &mut Vec<Output>) {
+        outputs.retain(|output| *output != Output::NotificationsPending);
+        while let Some(client) = self.engine.clients_to_notify().first().copied() {
+            let input = Input::SendNotifications(client);
+            outputs.extend(self.engine.handle(self.now, input));
+        }
+    }
+
     /// Lets the scheduler take this action, in a batch caused by an input that changes nothing.
     pub fn take_action(&mut self, action: Action) -> Vec<Output> {
         self.actions.borrow_mut().push(action);
@@ -110,6 +120,7 @@
         while let Some(at) = self.engine.next_wake().filter(|at| *at <= end) {
             self.now = self.now.max(at);
             outputs.extend(self.engine.handle(self.now, Input::Tick(self.now)));
+            self.send_notifications(&mut outputs);
         }
         self.now = end;
         outputs
@@ -200,7 +211,9 @@
 /// Messages to clients, each with the client's number.
 pub fn to_clients(outputs: &[Output]) -> Vec<(u64, Message)> {
     let message = |output: &Output| match output {
-        Output::SendToClient(client, frame) => Some((client.0, decode_frame(frame))),
+        Output::SendToClient(client, frame) | Output::SendNotification(client, frame) => {
+            Some((client.0, decode_frame(frame)))
+        }
         _ => None,
     };
     outputs.iter().filter_map(message).collect()
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -17,6 +17,7 @@
 mod handover_limits;
 mod harness;
 mod node_list;
+mod notifications;
 mod random_answers;
 mod random_inputs;
 mod random_node_reports;
--- a/crates/platform/tests/engine/random_answers.rs
+++ b/crates/platform/tests/engine/random_answers.rs
@@ -75,7 +75,12 @@
                     }
                     self.open_attempts.push((connection, id));
                 }
-                Output::SendToClient(_, frame) => {
+                Output::NotificationsPending => {
+                    for client in self.engine.clients_to_notify() {
+                        self.input(Input::SendNotifications(client));
+                    }
+                }
+                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
                     let message = decode_frame(&frame);
                     let request = self
                         .requests
--- a/crates/platform/tests/engine/random_inputs.rs
+++ b/crates/platform/tests/engine/random_inputs.rs
@@ -152,7 +152,13 @@
                 8 if rng.u8(0..4) == 0 => {
                     Input::NodeDisconnected(NodeConnectionId(connection), Disconnect::Broken { bytes_written: rng.u64(0..400), is_clean: true })
                 }
-                9 if rng.u8(0..8) == 0 => Input::ClientDisconnected(client),
+                9 if rng.u8(0..8) == 0 => match rng.u8(0..4) {
+                    0 => Input::ClientBroken(client),
+                    1 => Input::ClientLeaving(client),
+                    2 => Input::ClientSilent(client),
+                    _ => Input::ClientDisconnected(client),
+                },
+                11 if rng.bool() => Input::SendNotifications(client),
                 10 if rng.u8(0..8) == 0 => {
                     let state = ["active", "leaving", "left"][rng.usize(0..3)];
                     let started_ms = if rng.bool() { now / 1000 } else { 0 };
@@ -200,7 +206,7 @@
                     }
                     // Closing a connection ends the open attempts on it.
                     Output::Close(connection) => open_on.retain(|_, other| *other != connection.0),
-                    Output::SendToClient(_, frame) => {
+                    Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
                         let message = decode_frame(&frame);
                         if message.kind == MessageKind::Answer {
                             prop_assert!(answered.insert(message.id), "answered twice");
--- a/crates/platform/tests/engine/random_node_reports/world.rs
+++ b/crates/platform/tests/engine/random_node_reports/world.rs
@@ -133,7 +133,14 @@
                     }
                 }
                 Output::Close(number) => self.close_from_engine(number.0),
-                Output::SendToClient(_, frame) => self.on_client_message(&decode_frame(&frame)),
+                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                    self.on_client_message(&decode_frame(&frame));
+                }
+                Output::NotificationsPending => {
+                    for client in self.engine.clients_to_notify() {
+                        self.input(Input::SendNotifications(client));
+                    }
+                }
                 // Messages are written at once.
                 Output::CloseUnlessWritten(..) | Output::WatchEndpoints | Output::Log(_) => {}
             }
--- a/crates/runtime/src/connection/send_buffer.rs
+++ b/crates/runtime/src/connection/send_buffer.rs
@@ -169,6 +169,11 @@
         self.bytes_written.get()
     }
 
+    /// Number of bytes that the operating system has accepted or that are buffered.
+    pub fn bytes_pushed(&self) -> u64 {
+        self.bytes_written.get() + self.bytes.borrow().len() as u64
+    }
+
     /// Whether the buffer is empty.
     pub fn is_empty(&self) -> bool {
         self.bytes.borrow().is_empty()
--- a/crates/scale/src/hollow_scheduler.rs
+++ b/crates/scale/src/hollow_scheduler.rs
@@ -201,7 +201,10 @@
             | Input::EndpointWatchFailed
             | Input::AdmitNext
             | Input::ClientLeaving(_)
+            | Input::ClientSilent(_)
+            | Input::SendNotifications(_)
             | Input::ClientDisconnected(_)
+            | Input::ClientBroken(_)
             | Input::ClientCount(_)
             | Input::NodeConnected(_)
             | Input::NodeDisconnected(..)
@@ -214,7 +217,9 @@
     fn input(&mut self, input: Input) {
         for output in self.engine.handle(self.now, input) {
             match output {
-                Output::SendToClient(_, frame) => self.receive_at_client(&frame),
+                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                    self.receive_at_client(&frame);
+                }
                 Output::Connect(connection, _) => {
                     self.counts.connects += 1;
                     self.connections.insert(connection, 0);
@@ -226,10 +231,17 @@
                 Output::Close(connection) => self.close(connection),
                 // Messages are written at once.
                 Output::CloseUnlessWritten(..) | Output::WatchEndpoints | Output::Log(_) => {}
+                Output::NotificationsPending => self.send_notifications(),
             }
         }
     }
 
+    fn send_notifications(&mut self) {
+        for client in self.engine.clients_to_notify() {
+            self.input(Input::SendNotifications(client));
+        }
+    }
+
     fn close(&mut self, connection: NodeConnectionId) {
         if let Some(bytes_written) = self.connections.remove(&connection) {
             let disconnect = Disconnect::Broken {
--- a/crates/scale/src/roles/serve/harness.rs
+++ b/crates/scale/src/roles/serve/harness.rs
@@ -128,7 +128,9 @@
 
     fn handle_output(&mut self, output: Output) {
         match output {
-            Output::SendToClient(_, frame) => self.send_to_client(&frame),
+            Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                self.send_to_client(&frame);
+            }
             Output::SendToNode(connection, frame) | Output::Cancel(connection, frame) => {
                 self.send_to_node(connection, &frame);
             }
@@ -143,7 +145,10 @@
                     .deliver_after(NETWORK_DELAY * 4, Delivery::ListAnswer);
             }
             // Connections never break here, and the engine closes none.
-            Output::Close(_) | Output::CloseUnlessWritten(..) | Output::Log(_) => {}
+            Output::NotificationsPending
+            | Output::Close(_)
+            | Output::CloseUnlessWritten(..)
+            | Output::Log(_) => {}
         }
     }
 
--- a/crates/serve/src/clients.rs
+++ b/crates/serve/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::server::Server;
 use bytes::BytesMut;
 use peppercove_platform::{ClientId, Input};
-use peppercove_runtime::drive;
+use peppercove_runtime::{CloseReason, drive};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,8 +58,14 @@
         })
     };
     let (send_buffer, receive_budget) = (&connection.send_buffer, &server.client_receive_budget);
-    drive(&stream, send_buffer, receive_budget, decode).await;
+    let reason = drive(&stream, send_buffer, receive_budget, decode).await;
     drop(stream);
     server.remove_client(id);
-    server.handle(Input::ClientDisconnected(id));
+    let is_broken = matches!(reason, CloseReason::Failed(_))
+        || !send_buffer.is_empty()
+        || connection.has_lost_answers.get();
+    server.handle(match is_broken {
+        true => Input::ClientBroken(id),
+        false => Input::ClientDisconnected(id),
+    });
 }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -13,6 +13,12 @@
 pub(crate) struct Connection {
     pub(crate) send_buffer: SendBuffer,
     pub(crate) opened_at: Micros,
+    /// Number of bytes up to the end of the last message to a client that is sent on no other connection.
+    answers_end: Cell<u64>,
+    /// Whether such a message could not be buffered, because the connection was being closed.
+    pub(crate) has_lost_answers: Cell<bool>,
+    /// Whether the engine knows of the connection although nothing has been received on it.
+    pub(crate) is_reported_silent: Cell<bool>,
     /// When the last complete message was read.
     pub(crate) last_message_at: Cell<Option<Micros>>,
     /// When the first part of an incomplete message was read.
@@ -25,6 +31,9 @@
         Rc::new(Connection {
             send_buffer: SendBuffer::new(budget),
             opened_at,
+            answers_end: Cell::new(0),
+            has_lost_answers: Cell::new(false),
+            is_reported_silent: Cell::new(false),
             last_message_at: Cell::new(None),
             incomplete_since: Cell::new(None),
         })
@@ -39,6 +48,29 @@
         self.send_buffer.push(frame) && self.send_buffer.flush()
     }
 
+    /// Buffers a message to a client that is sent on no other connection.
+    pub(crate) fn push_answer(&self, frame: &[u8]) {
+        if self.send_buffer.push(frame) {
+            self.answers_end.set(self.send_buffer.bytes_pushed());
+        } else {
+            self.has_lost_answers.set(true);
+        }
+    }
+
+    /// Whether messages are left to write that are sent on no other connection.
+    pub(crate) fn has_unsent_answers(&self) -> bool {
+        self.send_buffer.bytes_written() < self.answers_end.get()
+    }
+
+    /// Closes the connection once all answers are written. Notifications that its peer does not read do not delay that.
+    pub(crate) fn close_after_answers(&self) {
+        if self.send_buffer.is_empty() || self.has_unsent_answers() {
+            self.send_buffer.close_after_flush();
+        } else {
+            self.send_buffer.close();
+        }
+    }
+
     /// Sends a cancellation. If it cannot be sent immediately, the connection is closed, so that a node that does not
     /// read is not sent the buffered attempt later.
     pub(crate) fn send_cancel(&self, frame: &[u8]) {
--- a/crates/serve/src/connection/tests.rs
+++ b/crates/serve/src/connection/tests.rs
@@ -66,3 +66,38 @@
         CloseReason::Locally
     ));
 }
+
+/// Guards against a connection that stays open because its peer does not read notifications, and against one that is
+/// closed although an answer is left to write.
+#[tokio::test(flavor = "current_thread")]
+async fn connection_is_closed_although_notifications_are_unread_but_not_before_answers_are_written()
+{
+    for has_unsent_answer in [false, true] {
+        let (local, _peer) = connected_streams().await;
+        let connection = Connection::new(0, &SendBudget::new(1 << 24));
+        let budget = ReceiveBudget::new(1 << 20);
+        let driven = drive(&local, &connection.send_buffer, &budget, |_| true);
+        let steps = async {
+            tokio::task::yield_now().await;
+            connection.push_answer(b"answer");
+            assert!(connection.has_unsent_answers());
+            assert!(connection.send_buffer.flush());
+            assert!(!connection.has_unsent_answers());
+            assert!(
+                !connection.send(&vec![0; 1 << 23]),
+                "the socket does not take this much while the peer does not read"
+            );
+            if has_unsent_answer {
+                connection.push_answer(b"answer");
+            }
+            assert_eq!(connection.has_unsent_answers(), has_unsent_answer);
+            connection.close_after_answers();
+            assert!(!connection.has_lost_answers.get());
+            connection.push_answer(b"answer");
+            assert!(connection.has_lost_answers.get());
+        };
+        let closed = async { tokio::join!(driven, steps).0 };
+        let closed = tokio::time::timeout(std::time::Duration::from_millis(200), closed).await;
+        assert_eq!(closed.is_err(), has_unsent_answer, "{closed:?}");
+    }
+}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -55,6 +55,7 @@
     spawn_local(endpoint_watch::follow(server.clone()));
     spawn_local(server::run_timer(server.clone()));
     spawn_local(server::admit_queued_requests(server.clone()));
+    spawn_local(server::send_notifications(server.clone()));
     spawn_local(server::sweep_connections(server.clone()));
     spawn_local(clients::accept(server.clone(), listener));
     tracing::info!(%address, "serving");
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -18,8 +18,10 @@
 use tokio::sync::Notify;
 
 mod connection_limits;
+mod notifications;
 
 pub(crate) use connection_limits::sweep_connections;
+pub(crate) use notifications::send_notifications;
 
 /// Spawns the task that handles a connection to a node.
 pub(crate) type ConnectToNode = fn(Rc<Server>, NodeConnectionId, SocketAddr, Rc<Connection>);
@@ -38,6 +40,8 @@
     pub(crate) node_receive_budget: Rc<ReceiveBudget>,
     /// Notified when a request is queued.
     request_queued: Notify,
+    /// Notified when there may be notifications that client connections have not been sent.
+    notifications_pending: Notify,
     /// How long queued requests are admitted before the sockets are polled again.
     admission_slice: Duration,
     /// Timeout for establishing a connection.
@@ -88,6 +92,7 @@
             client_receive_budget: ReceiveBudget::new(bounds.receive_buffer_bytes),
             node_receive_budget: ReceiveBudget::new(bounds.receive_buffer_bytes),
             request_queued: Notify::new(),
+            notifications_pending: Notify::new(),
             admission_slice,
             dial_timeout,
             max_line_bytes: max_line_bytes(config.limits.memory_mb),
@@ -117,7 +122,7 @@
         let outputs = self.engine.borrow_mut().handle(self.clock.now(), input);
         let mut recipients = BTreeSet::new();
         for output in outputs {
-            if let Output::SendToClient(client, _) = &output {
+            if let Output::SendToClient(client, _) | Output::SendNotification(client, _) = &output {
                 recipients.insert(*client);
             }
             self.execute(output);
@@ -139,10 +144,14 @@
         tracing::trace!(?output, "executing output");
         match output {
             Output::SendToClient(client, frame) => {
-                if let Some(connection) = self.clients.borrow().get(&client) {
+                self.with_client(client, |connection| connection.push_answer(&frame));
+            }
+            Output::SendNotification(client, frame) => {
+                self.with_client(client, |connection| {
                     connection.send_buffer.push(&frame);
-                }
+                });
             }
+            Output::NotificationsPending => self.notifications_pending.notify_one(),
             Output::SendToNode(id, frame) => {
                 self.with_node_connection(id, |connection| {
                     connection.send(&frame);
@@ -163,6 +172,12 @@
         }
     }
 
+    fn with_client(&self, id: ClientId, act: impl FnOnce(&Connection)) {
+        if let Some(connection) = self.clients.borrow().get(&id) {
+            act(connection);
+        }
+    }
+
     fn with_node_connection(&self, id: NodeConnectionId, act: impl FnOnce(&Connection)) {
         if let Some(connection) = self.node_connections.borrow().get(&id) {
             act(connection);
@@ -239,10 +254,11 @@
         self.is_flushed_to_clients() && self.node_connections.borrow().values().all(is_empty)
     }
 
-    /// Whether the send buffers of all client connections are empty.
+    /// Whether all answers, and all notifications that clients read, are written.
     pub(crate) fn is_flushed_to_clients(&self) -> bool {
-        let is_empty = |connection: &Rc<Connection>| connection.send_buffer.is_empty();
-        self.clients.borrow().values().all(is_empty)
+        let has_unsent_answers = |connection: &Rc<Connection>| connection.has_unsent_answers();
+        !self.clients.borrow().values().any(has_unsent_answers)
+            && self.clients_ready_for_notifications().is_empty()
     }
 }
 
--- a/crates/serve/src/server/connection_limits.rs
+++ b/crates/serve/src/server/connection_limits.rs
@@ -54,13 +54,14 @@
     }
 
     /// Closes the client connection that has been silent for the longest time, preferring those that never sent a valid
-    /// request. Connections with open requests or unsent bytes are not closed. Returns false if there is none to close.
+    /// request. Connections with open requests or unsent answers are not closed. Returns false if there is none to close.
     fn close_idle_client(&self) -> bool {
         let engine = self.engine.borrow();
         let clients = self.clients.borrow();
         let is_idle = |id: ClientId, connection: &Connection| {
-            let send_buffer = &connection.send_buffer;
-            !send_buffer.is_closing() && send_buffer.is_empty() && !engine.has_open_requests(id)
+            !connection.send_buffer.is_closing()
+                && !connection.has_unsent_answers()
+                && !engine.has_open_requests(id)
         };
         let rank = |id: ClientId, connection: &Connection| {
             let last_message_at = connection.last_message_at.get();
@@ -72,7 +73,7 @@
             return false;
         };
         // The connection is read once more before it is closed, and stays registered until then.
-        connection.send_buffer.close_after_flush();
+        connection.close_after_answers();
         true
     }
 
@@ -99,7 +100,7 @@
             {
                 // Invariant: the client gets the answers to its earlier requests and to those received since the last
                 // read.
-                send_buffer.close_after_flush();
+                connection.close_after_answers();
             }
         }
     }
@@ -113,7 +114,7 @@
     }
 
     /// Whether the connection has been open for this long without a complete message.
-    fn has_sent_nothing_for(&self, time: Micros, now: Micros) -> bool {
+    pub(super) fn has_sent_nothing_for(&self, time: Micros, now: Micros) -> bool {
         self.last_message_at.get().is_none() && self.opened_at + time <= now
     }
 }
@@ -123,5 +124,6 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         server.sweep();
+        server.sweep_notifications();
     }
 }
