A keyed task that may have run is not sent to nodes whose connections broke

What callers saw: a keyed task whose node died was sent again, under that node's name, to another node that had taken over its address, outside its deduplication scope. It ran twice.

Cause: the decision module was never told that the connections to a node had broken, and took whatever answers at the address for the node that the list names.

Change: the engine reports that the last connection to a node broke, before the ends of its attempts (idle closes are not reported). A keyed task that may have run, with a scope smaller than the fleet, is not sent to nodes whose connections broke since its first attempt or within 4 s, the time in which the list shows a change by the platform's rules. One that waits for a new connection to such a node is not sent.

--- a/crates/day/src/incident_import/findings.rs
+++ b/crates/day/src/incident_import/findings.rs
@@ -167,6 +167,7 @@
                 }
             },
             Event::TaskUpdated { .. }
+            | Event::NodeConnectionsBroken { .. }
             | Event::RequestCancelled(_)
             | Event::Timer(_)
             | Event::Probed { .. }
--- a/crates/fleet/src/node_subset/decide.rs
+++ b/crates/fleet/src/node_subset/decide.rs
@@ -48,6 +48,7 @@
             Event::Place(_)
             | Event::Placed { .. }
             | Event::TaskUpdated { .. }
+            | Event::NodeConnectionsBroken { .. }
             | Event::RequestCancelled(_)
             | Event::Timer(_)
             | Event::Probed { .. }
@@ -103,6 +104,7 @@
             }
             Event::Placed { .. }
             | Event::TaskUpdated { .. }
+            | Event::NodeConnectionsBroken { .. }
             | Event::RequestCancelled(_)
             | Event::Timer(_)
             | Event::Probed { .. }
--- a/crates/fleet/src/node_subset/pending_requests.rs
+++ b/crates/fleet/src/node_subset/pending_requests.rs
@@ -72,6 +72,7 @@
             Event::NodeList { .. }
             | Event::RunningTask { .. }
             | Event::TaskUpdated { .. }
+            | Event::NodeConnectionsBroken { .. }
             | Event::Timer(_)
             | Event::Probed { .. }
             | Event::Peer { .. } => {}
--- a/crates/platform/src/engine/connections.rs
+++ b/crates/platform/src/engine/connections.rs
@@ -1,11 +1,11 @@
 //! Connections to nodes, their health, and reconnection.
 
 use super::node_connections::HealthReview;
-use super::request::{AttemptId, AttemptState, HealthCheck};
+use super::request::{AttemptId, AttemptState, HealthCheck, Request};
 use super::timers::Timer;
 use super::{Disconnect, NodeConnectionId, Output, PlatformEngine};
 use crate::wire::{Message, MessageKind, code};
-use peppercove::{AttemptOutcome, NodeId};
+use peppercove::{AttemptOutcome, Event, Idempotency, NodeId};
 use peppercove_core::Decide;
 
 impl<D: Decide> PlatformEngine<D> {
@@ -50,6 +50,11 @@
             return;
         };
         let node = closed.node;
+        let is_clean = matches!(disconnect, Disconnect::Broken { is_clean: true, .. });
+        let was_idle = closed.attempts.is_empty() && (is_clean || closed.was_evicted);
+        if !was_idle && self.nodes.any_connected(node).is_none() {
+            self.on_connections_broken(node);
+        }
         for attempt in closed.attempts {
             self.end_attempt_on_disconnect(attempt, node, disconnect);
         }
@@ -69,6 +74,33 @@
         }
     }
 
+    /// Handles the loss of the last connection to a node, other than the close of an idle one.
+    ///
+    /// Race: another node may have taken over the address before the list shows it. It does not know the keys of the
+    /// tasks that may have run on the former one, and must not be sent them, also if that was decided before.
+    fn on_connections_broken(&mut self, node: NodeId) {
+        self.events.push(Event::NodeConnectionsBroken { node });
+        for attempt in self.nodes.queued_for(node) {
+            let request = self.requests.get(attempt.request);
+            if request.is_some_and(|request| self.relies_on_key(request)) {
+                self.abandon_attempt(attempt, AttemptOutcome::Unreachable, false);
+            }
+        }
+    }
+
+    /// Whether only the key of a task prevents that it runs a second time.
+    fn relies_on_key(&self, request: &Request) -> bool {
+        let Some(payload) = &request.payload else {
+            return false;
+        };
+        let mut names = self.schema.classes.iter().map(String::as_bytes);
+        let class = names.position(|name| *name == *payload.class);
+        let class = class.and_then(|index| self.settings.classes.get(index));
+        let is_keyed =
+            class.is_some_and(|class| matches!(class.idempotency, Idempotency::Keyed { .. }));
+        is_keyed && request.has_unresolved_attempt()
+    }
+
     fn end_attempt_on_disconnect(&mut self, id: AttemptId, node: NodeId, disconnect: Disconnect) {
         let request = self.requests.get(id.request);
         let Some(attempt) = request.and_then(|r| r.attempt(id.number)) else {
--- a/crates/platform/src/engine/node_connections/connection.rs
+++ b/crates/platform/src/engine/node_connections/connection.rs
@@ -12,6 +12,8 @@
     is_established: bool,
     /// Whether this side is closing the connection. Nothing more is sent on it.
     pub(super) is_closing: bool,
+    /// Whether this side is closing the connection because its descriptor is needed.
+    pub(super) is_evicted: bool,
     /// Attempts that wait until the connection is established.
     queued_attempts: Vec<AttemptId>,
     /// Attempts that were sent and wait for an answer.
@@ -41,6 +43,8 @@
     pub(in crate::engine) node: NodeId,
     /// Attempts that were waiting for the connection or for an answer on it.
     pub(in crate::engine) attempts: Vec<AttemptId>,
+    /// Whether this side closed it because its descriptor was needed.
+    pub(in crate::engine) was_evicted: bool,
 }
 
 /// A request with an ambiguous end, and the health check that resolves it.
@@ -57,6 +61,7 @@
             node,
             is_established: false,
             is_closing: false,
+            is_evicted: false,
             queued_attempts: Vec::new(),
             sent_attempts: BTreeSet::new(),
             bytes_sent: 0,
@@ -131,6 +136,7 @@
         Some(ClosedConnection {
             node: connection.node,
             attempts: queued.chain(connection.sent_attempts).collect(),
+            was_evicted: connection.is_evicted,
         })
     }
 
--- a/crates/platform/src/engine/node_connections/pool.rs
+++ b/crates/platform/src/engine/node_connections/pool.rs
@@ -60,7 +60,9 @@
         let idle = self.connections.iter().filter(|(_, c)| c.is_idle());
         let (id, _) = idle.min_by_key(|(_, c)| (has_tasks(c), c.last_contact_at))?;
         let id = *id;
-        self.connections.get_mut(&id)?.is_closing = true;
+        let connection = self.connections.get_mut(&id)?;
+        connection.is_closing = true;
+        connection.is_evicted = true;
         outputs.push(Output::Close(id));
         Some(())
     }
--- a/crates/platform/src/engine/request.rs
+++ b/crates/platform/src/engine/request.rs
@@ -189,6 +189,12 @@
         }
     }
 
+    /// Whether an earlier attempt was sent and ended without an answer.
+    pub(super) fn has_unresolved_attempt(&self) -> bool {
+        let is_unresolved = |attempt: &Attempt| attempt.state == AttemptState::Unresolved;
+        self.attempts.iter().any(is_unresolved)
+    }
+
     /// Whether another attempt was sent to the same node and ended without an answer. Messages from the node may then
     /// be about either attempt.
     pub(super) fn has_unresolved_sibling(&self, number: u16) -> bool {
--- a/crates/platform/tests/engine/main.rs
+++ b/crates/platform/tests/engine/main.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod ambiguity;
 mod attempts;
+mod broken_connections;
 mod cancellation;
 mod client_departure;
 mod clients;
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -78,6 +78,12 @@
         /// Load report of the node that accompanied the message.
         load: Option<LoadReport>,
     },
+    /// All connections to a node broke. Its process may have ended, and another node may have taken
+    /// over its address, which the list shows later.
+    NodeConnectionsBroken {
+        /// The node.
+        node: NodeId,
+    },
     /// The client cancelled the request.
     RequestCancelled(RequestId),
     /// The timer with this label fired.
--- a/src/scheduler/filters.rs
+++ b/src/scheduler/filters.rs
@@ -6,7 +6,11 @@
 use super::backoff::BackoffScope;
 use super::node::Node;
 use super::placement::{CountedLoad, Placement};
-use crate::api::{DedupScope, Idempotency, Resources, TopologySpread};
+use crate::api::{DedupScope, Idempotency, Micros, Resources, TopologySpread};
+
+/// Time within which the list shows that another node has taken over an address, in microseconds.
+/// The platform's rules allow the list to be silent for this long.
+const MAX_LIST_DELAY: Micros = 4_000_000;
 
 impl Placement<'_> {
     pub(super) fn is_feasible(&self, node: &Node) -> bool {
@@ -57,12 +61,16 @@
     }
 
     /// Invariant: a task with an idempotency key that may have run is sent only to nodes within the
-    /// deduplication scope of its key. Other nodes would start it a second time.
+    /// deduplication scope of its key. Other nodes would start it a second time, such as one that
+    /// has taken over the address of a node since.
     fn dedup_scope_allows(&self, node: &Node) -> bool {
         let Some(first) = self.request.first_possible_start() else {
             return true;
         };
-        let is_same_zone = node.entry.zone == first.zone;
+        let may_be_another = node.connections_broken_at.is_some_and(|broken_at| {
+            broken_at >= first.sent_at || self.scheduler.now < broken_at + MAX_LIST_DELAY
+        });
+        let is_same_zone = !may_be_another && node.entry.zone == first.zone;
         self.scheduler.may_retry(self.request)
             && match self.class.idempotency {
                 Idempotency::Keyed {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -232,6 +232,7 @@
                     self.on_load_report(*node, load);
                 }
             }
+            Event::NodeConnectionsBroken { node } => self.on_connections_broken(*node),
             Event::RequestCancelled(request) => self.complete(*request),
             Event::Timer(_) => self.on_wake_timer(),
             Event::Probed {
--- a/tests/scheduler/retries.rs
+++ b/tests/scheduler/retries.rs
@@ -99,6 +99,82 @@
     assert_eq!(send_by(&second), Some(SECOND + window - tick));
 }
 
+/// A further attempt.
+#[derive(Clone, Copy, Debug)]
+struct Retry {
+    at: Micros,
+    node: u64,
+}
+
+/// The attempt after the end of another one, within the time that the key of the task is known.
+fn next_attempt(scheduler: &mut Scheduler, ended_at: Micros, end: Event) -> Option<Retry> {
+    let mut events = vec![end];
+    for now in (ended_at..ended_at + 4 * SECOND).step_by(50_000) {
+        let actions = scheduler.handle(now, &events);
+        if let Some(retry) = dispatches(&actions).first() {
+            return Some(Retry {
+                at: now,
+                node: retry.node,
+            });
+        }
+        events = vec![Event::Timer(0)];
+    }
+    None
+}
+
+/// Guards against a keyed task that runs twice, because another node has taken over the address of a node in its
+/// deduplication scope and does not know its key.
+#[test]
+fn a_keyed_task_that_may_have_run_avoids_nodes_whose_connections_broke_since() {
+    const KEYED: u16 = 1;
+    const RACK: u16 = 3;
+    let retried_at = |broken: &[u64], first_sent_at: Micros| {
+        let mut scheduler = Scheduler::new(Settings::sample(), 11);
+        let entries = (0..3).map(|node| node_entry(node, RACK)).collect();
+        scheduler.handle(SECOND, &[node_list(ListUpdateKind::Full, 1, entries)]);
+        let first = scheduler.handle(first_sent_at, &[Event::Place(task(1, KEYED, 1))]);
+        let node = dispatches(&first)[0].node;
+        let break_event = |node: &u64| Event::NodeConnectionsBroken {
+            node: NodeId(*node),
+        };
+        let broken_at = first_sent_at.max(2 * SECOND);
+        scheduler.handle(
+            broken_at,
+            &broken.iter().map(break_event).collect::<Vec<_>>(),
+        );
+        let lost = attempt_ended(1, 0, node, AttemptOutcome::Lost, EndReason::Unknown);
+        next_attempt(&mut scheduler, broken_at, lost).map(|retry| retry.node)
+    };
+    assert!(retried_at(&[], SECOND).is_some());
+    for intact in 0..3 {
+        let broken: Vec<u64> = (0..3).filter(|node| *node != intact).collect();
+        assert_eq!(retried_at(&broken, SECOND), Some(intact));
+    }
+    assert_eq!(retried_at(&[0, 1, 2], SECOND), None);
+    assert_eq!(retried_at(&[0, 1, 2], 2 * SECOND), None);
+}
+
+/// Guards against a retry on a node whose connections broke before the first attempt, while the list may not show yet that
+/// another node has taken over its address; and against nodes that are avoided for good.
+#[test]
+fn a_keyed_task_that_may_have_run_avoids_nodes_whose_connections_broke_shortly_before_it() {
+    const KEYED: u16 = 1;
+    const LIST_DELAY: Micros = 4 * SECOND;
+    let node = NodeId(0);
+    for first_sent_at in [2 * SECOND, SECOND + LIST_DELAY] {
+        let mut scheduler = Scheduler::new(Settings::sample(), 11);
+        let entries = vec![node_entry(node.0, 3)];
+        scheduler.handle(SECOND, &[node_list(ListUpdateKind::Full, 1, entries)]);
+        scheduler.handle(SECOND, &[Event::NodeConnectionsBroken { node }]);
+        let place = Event::Place(task(1, KEYED, 1));
+        let first = scheduler.handle(first_sent_at, &[place]);
+        assert_eq!(dispatches(&first)[0].node, node.0);
+        let error = attempt_ended(1, 0, node.0, AttemptOutcome::Error, EndReason::Unknown);
+        let retry = next_attempt(&mut scheduler, first_sent_at, error).expect("no retry");
+        assert!(retry.at >= SECOND + LIST_DELAY, "{retry:?}");
+    }
+}
+
 #[test]
 fn a_cancelled_request_gets_no_further_attempt() {
     let mut scheduler = scheduler_with_nodes(Settings::sample(), 2);
