The auditor counts offers for each process of a cold node

Cause: the auditor counted by the incarnation that a controller's list showed. n11 restarted at 6.67 s; the list showed it at 7.49 s, its greeting at 6.71 to 7.23 s. 23 offers went to the old process and six to the new one; the controllers count by the greeting, and give the indivisible offer of the budget to another of them for each incarnation.

Why the check was wrong, and what replaces it: the rule is about a process that has just started. Offers now count for the process that has greeted the controller if it is later than the listed one, cold from its first greeting. That is stricter where it was silent: offers to a process that the list does not show yet, after one that started long ago, were not checked.

--- a/crates/audit/src/node_links.rs
+++ b/crates/audit/src/node_links.rs
@@ -34,6 +34,8 @@
 pub(crate) struct NodeLinks {
     /// By name of the controller and of the node.
     links: BTreeMap<(String, String), Link>,
+    /// When a controller was first greeted by an incarnation of a node, by the node's name.
+    first_greetings: BTreeMap<(String, u64), Micros>,
     handshakes: BTreeMap<(ProcessIdentity, String), Handshake>,
 }
 
@@ -43,6 +45,12 @@
         self.get(controller, node)?.node_incarnation
     }
 
+    /// When any controller was first greeted by this incarnation of a node.
+    pub(crate) fn first_greeted_at(&self, node: &str, incarnation: u64) -> Option<Micros> {
+        let greeted_at = self.first_greetings.get(&(node.to_owned(), incarnation));
+        greeted_at.copied()
+    }
+
     /// Whether the controller was connected to the node and no longer is.
     pub(crate) fn is_closed(&self, controller: &str, node: &str) -> bool {
         self.get(controller, node).is_some_and(|link| !link.is_open)
@@ -72,6 +80,9 @@
             ..
         } = message
         {
+            self.first_greetings
+                .entry((node.to_owned(), welcomed.incarnation))
+                .or_insert(at);
             self.begin_handshake(attempts, controller, welcomed, node, *known_tasks);
             return self.complete_handshake(attempts, controller, node);
         }
--- a/crates/audit/src/rules/slow_start_budget.rs
+++ b/crates/audit/src/rules/slow_start_budget.rs
@@ -23,12 +23,38 @@
     }
 }
 
+/// A process of a node.
+#[derive(Clone, Copy)]
+struct NodeProcess {
+    incarnation: u64,
+    /// When it started at the latest; `None` if that was long ago.
+    started: Option<Micros>,
+}
+
 impl Auditor<'_> {
+    /// The process to which an offer is sent: that of the node list, or a later one that has greeted the controller
+    /// before the list shows it.
+    fn offered_process(&self, offer: &Offer<'_>) -> Option<NodeProcess> {
+        let controller = &offer.controller.name;
+        let listed = self.lists.get(controller, offer.node)?;
+        let greeted = self.links.node_incarnation(controller, offer.node);
+        let Some(incarnation) = greeted.filter(|greeted| *greeted > listed.incarnation) else {
+            return Some(NodeProcess {
+                incarnation: listed.incarnation,
+                started: listed.started,
+            });
+        };
+        Some(NodeProcess {
+            incarnation,
+            started: self.links.first_greeted_at(offer.node, incarnation),
+        })
+    }
+
     pub(crate) fn check_slow_start_budget(&mut self, offer: &Offer<'_>) {
-        let Some(listed) = self.lists.get(&offer.controller.name, offer.node) else {
+        let Some(process) = self.offered_process(offer) else {
             return;
         };
-        let Some(started) = listed.started else {
+        let Some(started) = process.started else {
             return;
         };
         if offer.at >= started + self.settings.slow_start_window {
@@ -38,7 +64,7 @@
         let budget = self.settings.slow_start_budget;
         let recent = self
             .slow_start_offers
-            .add(offer.at, offer.node, listed.incarnation, window);
+            .add(offer.at, offer.node, process.incarnation, window);
         if recent > budget {
             let description = format!(
                 "{recent} offers within {window} us to the cold {}, which bears {budget}",
--- a/crates/audit/tests/seeded_faults/history.rs
+++ b/crates/audit/tests/seeded_faults/history.rs
@@ -64,6 +64,19 @@
     }
 }
 
+/// The greeting of node a, which is going to list this many tasks.
+pub(crate) fn welcome(incarnation: u64, known_tasks: u32) -> FromNode {
+    FromNode::Welcome {
+        version: peppercove_protocol::VERSION,
+        node: ProcessIdentity {
+            name: "a".into(),
+            incarnation,
+        },
+        known_tasks,
+        is_complete: true,
+    }
+}
+
 pub(crate) fn id(request: u64, number: u16) -> AttemptId {
     AttemptId { request, number }
 }
