A client that closes its connection while the receive budget is exhausted has left

What callers saw: nothing was reported; seen on reading. Requests of a client that had closed its connection were queued, and ends of its tasks sent on that connection alone, until all that it had sent before was read.

Cause: wait_for_receive_budget reads a closed connection to its end without recording the close.

Change: the close is recorded before the rest is read, as on the usual path.

Test: runtime close_by_the_peer_is_known_before_the_rest_is_read_while_the_budget_is_exhausted failed before (69,632 bytes read before the close was known, of which 4,096 were sent before it), and passes.

--- a/crates/runtime/src/connection.rs
+++ b/crates/runtime/src/connection.rs
@@ -123,6 +123,7 @@
             () = std::future::ready(()) => false,
         };
         if is_closed_by_peer {
+            self.send_buffer.set_closed_by_peer();
             return self.read();
         }
         ControlFlow::Continue(())
--- a/crates/runtime/tests/connection.rs
+++ b/crates/runtime/tests/connection.rs
@@ -194,6 +194,39 @@
     assert!(budget.used() < 1 << 10);
 }
 
+/// Guards against a peer that has closed its connection and is taken for connected while the rest of what it sent is read,
+/// because the receive budget is exhausted.
+#[tokio::test(flavor = "current_thread")]
+async fn close_by_the_peer_is_known_before_the_rest_is_read_while_the_budget_is_exhausted() {
+    const BUDGET: usize = 2 << 10;
+    const INCOMPLETE: usize = 4 << 10;
+    const REST: usize = 64 << 10;
+    let (stream, mut peer) = connected_pair().await;
+    let send_buffer = SendBuffer::new(&SendBudget::new(1 << 20));
+    let budget = ReceiveBudget::new(BUDGET);
+    let read_before_close_is_known = std::cell::Cell::new(0);
+    let driven = drive(&stream, &send_buffer, &budget, |received| {
+        if !send_buffer.is_closed_by_peer() {
+            read_before_close_is_known.set(received.len());
+        }
+        true
+    });
+    let steps = async {
+        peer.write_all(&[b'x'; INCOMPLETE])
+            .await
+            .expect("cannot write to the connection");
+        while read_before_close_is_known.get() < INCOMPLETE {
+            tokio::task::yield_now().await;
+        }
+        peer.write_all(&[b'x'; REST])
+            .await
+            .expect("cannot write to the connection");
+        drop(peer);
+    };
+    assert!(matches!(tokio::join!(driven, steps).0, CloseReason::ByPeer));
+    assert_eq!(read_before_close_is_known.get(), INCOMPLETE);
+}
+
 #[test]
 fn busy_connection_uses_the_budget_that_is_unused_and_slow_ones_leave_some() {
     let budget = SendBudget::new(1 << 20);
