--- a/src/scheduler/filters.rs
+++ b/src/scheduler/filters.rs
@@ -6,11 +6,7 @@
 use super::backoff::BackoffScope;
 use super::node::Node;
 use super::placement::{CountedLoad, Placement};
-use crate::api::{DedupScope, Idempotency, Micros, Resources, TopologySpread};
-
-/// Time within which the list shows that another node has taken over an address, in microseconds.
-/// The platform's rules allow the list to be silent for this long.
-const MAX_LIST_DELAY: Micros = 4_000_000;
+use crate::api::{DedupScope, Idempotency, Resources, TopologySpread};
 
 impl Placement<'_> {
     pub(super) fn is_feasible(&self, node: &Node) -> bool {
@@ -67,9 +63,11 @@
         let Some(first) = self.request.first_possible_start() else {
             return true;
         };
-        let may_be_another = node.connections_broken_at.is_some_and(|broken_at| {
-            broken_at >= first.sent_at || self.scheduler.now < broken_at + MAX_LIST_DELAY
-        });
+        let may_be_another = self.scheduler.broken_connections.may_be_another(
+            node.id(),
+            first.sent_at,
+            self.scheduler.now,
+        );
         let is_same_zone = !may_be_another && node.entry.zone == first.zone;
         self.scheduler.may_retry(self.request)
             && match self.class.idempotency {
--- a/src/scheduler/health.rs
+++ b/src/scheduler/health.rs
@@ -25,13 +25,6 @@
         }
     }
 
-    /// Records that another node may have taken over the address of this one.
-    pub(super) fn on_connections_broken(&mut self, id: NodeId) {
-        if let Some(node) = self.nodes.get_mut(&id) {
-            node.connections_broken_at = Some(self.now);
-        }
-    }
-
     /// Marks a node as unresponsive after it failed to answer in time.
     pub(super) fn on_unresponsive(&mut self, id: NodeId) {
         let scope = BackoffScope::Unresponsive;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 //! | [`errors`] | whether the node or the task caused an error |
 //! | [`headroom`] | how much capacity a class leaves to higher priorities |
 //! | [`backoff`] | how long a node is excluded from which tasks |
+//! | [`broken_connections`] | whether the process at the address of a node may be another one |
 //! | [`health`] | when a node counts as unresponsive, and which nodes are probed |
 //! | [`retries`] | whether a request may have another attempt, and its final answer |
 //! | [`wake_timer`] | when the scheduler needs to be called again |
@@ -51,6 +52,7 @@
 mod admission;
 mod attempt_end;
 mod backoff;
+mod broken_connections;
 mod dispatch;
 mod errors;
 mod filters;
@@ -82,6 +84,7 @@
 
 use crate::api::{Action, Event, Micros, NodeId, RequestId, Settings, TaskClass};
 use attempt_end::AttemptEnd;
+use broken_connections::BrokenConnections;
 use headroom::Headroom;
 use load_estimate::MeanLoad;
 use node::Node;
@@ -113,6 +116,7 @@
     started_at: Option<Micros>,
     /// Ordered by address, so that iteration is deterministic.
     nodes: BTreeMap<NodeId, Node>,
+    broken_connections: BrokenConnections,
     list_watch: ListWatch,
     requests: BTreeMap<RequestId, TrackedRequest>,
     queue: PlacementQueue,
@@ -137,6 +141,7 @@
     /// Creates a scheduler that has no state besides its settings.
     pub fn new(settings: Settings, seed: u64) -> Scheduler {
         Scheduler {
+            broken_connections: BrokenConnections::new(&settings),
             usage_ratio: UsageRatio::new(&settings),
             start_times: StartTimes::new(&settings.classes),
             preferred_counts: PreferredNodeCounts::new(settings.classes.len()),
@@ -232,7 +237,9 @@
                     self.on_load_report(*node, load);
                 }
             }
-            Event::NodeConnectionsBroken { node } => self.on_connections_broken(*node),
+            Event::NodeConnectionsBroken { node } => {
+                self.broken_connections.record(*node, self.now);
+            }
             Event::RequestCancelled(request) => self.complete(*request),
             Event::Timer(_) => self.on_wake_timer(),
             Event::Probed {
--- a/src/scheduler/node.rs
+++ b/src/scheduler/node.rs
@@ -27,8 +27,6 @@
     pub(super) unanswered: BTreeMap<RequestId, Micros>,
     /// Time at which the last message from the node arrived.
     pub(super) last_contact: Micros,
-    /// Time at which all connections to the node broke last.
-    pub(super) connections_broken_at: Option<Micros>,
     pub(super) backoffs: Backoffs,
     pub(super) errors: ErrorCounts,
     pub(super) recent_attempts: RecentAttempts,
