A seeded soak: clients lose their connections while nodes die and others do not read

Change: fleet lost_connections runs 45 s (SOAK_SECONDS, SOAK_SEED) with 12 clients that lose their connections every few seconds and come back with requests, a test alone or nothing, 150 clients that never read, five nodes of which one dies every 6 s, 32 MB and 256 descriptors. No answer or end may come twice on a connection, none may be missing.

--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 //! restarted, and list events are late. The checks use the answers that clients receive and what the nodes did. Nothing
 //! is asserted about times: after the last fault every request must be answered and every task must end.
 
+mod lost_connections;
 mod node;
 mod record;
 mod relay;
