The end of a handover is not sent while a request with its id is queued

Cause: a handover is handled at once, while a request waits for admission. The end of a task that had ended before its handover was sent on a connection with a queued request of the same id, whose client takes it for the answer. Found on reading the change of the notifications once more; it was so before, too.

Test: engine notifications::end_of_a_handover_is_not_sent_while_a_request_with_its_id_is_open failed before.

--- a/crates/platform/src/engine/untracked_tasks.rs
+++ b/crates/platform/src/engine/untracked_tasks.rs
@@ -60,7 +60,10 @@
             return false;
         };
         // The client is sent what is for all clients anyway, but perhaps under the task's previous id.
-        if ended.audience == Audience::HandingOver || ended.notification.wire_id != wire_id {
+        let is_for_others =
+            ended.audience == Audience::HandingOver || ended.notification.wire_id != wire_id;
+        // The client would take it for the answer to a request that waits under the same id.
+        if is_for_others && !self.queue.contains(client, wire_id) {
             let kind = ended.notification.kind;
             let notification = Notification { wire_id, kind };
             let handed_over = LoggedNotification {
--- a/crates/platform/tests/engine/notifications.rs
+++ b/crates/platform/tests/engine/notifications.rs
@@ -288,6 +288,27 @@
     }
 }
 
+/// Guards against the end of a handed-over task that its client takes for the answer to a request with the same id, which
+/// waits for admission.
+#[test]
+fn end_of_a_handover_is_not_sent_while_a_request_with_its_id_is_open() {
+    let mut harness = Harness::new();
+    harness.input(from_client(OWNER, handover(900, 900, "a")));
+    harness.input(Input::NodeConnected(NodeConnectionId(1)));
+    harness.input(from_node(end(5)));
+    let mut out = harness
+        .engine
+        .handle(harness.now, from_client(OWNER, request(5, "plain")));
+    out.extend(
+        harness
+            .engine
+            .handle(harness.now, from_client(OWNER, handover(5, 5, "a"))),
+    );
+    out.extend(harness.input(from_client(OWNER, test_message())));
+    assert_eq!(sent_to(OWNER, 5, &out), []);
+    assert_eq!(harness.engine.open_requests(), 1);
+}
+
 /// Guards against an end that is lost with the connection on which it was sent.
 #[test]
 fn end_that_may_be_lost_with_its_connection_is_sent_on_others() {
