Notifications are not repeated for a broken connection after the time they are kept

Cause: what was sent on a connection is forgotten after 8 s, but only when the next notification is sent. On an otherwise idle controller a reset repeated ends of any age to all clients.

Test: engine notifications::end_that_may_be_lost_with_its_connection_is_sent_on_others failed with a reset after 9 s.

--- a/crates/platform/src/engine/notifications.rs
+++ b/crates/platform/src/engine/notifications.rs
@@ -95,8 +95,7 @@
             self.log_notification(logged);
             return;
         }
-        let oldest_kept = self.now.saturating_sub(self.bounds.notification_retention);
-        self.sent_notifications.remove_older_than(oldest_kept);
+        self.forget_old_notifications();
         let sent = SentNotification {
             sent_at: self.now,
             logged,
@@ -156,12 +155,18 @@
         }
     }
 
+    fn forget_old_notifications(&mut self) {
+        let oldest_kept = self.now.saturating_sub(self.bounds.notification_retention);
+        self.sent_notifications.remove_older_than(oldest_kept);
+    }
+
     /// Logs the notifications that may be lost with a closed connection.
     ///
     /// Race: a notification sent just before its connection is closed may never be received, and the client would
     /// believe that the task is still running. If the connection broke, that holds for all notifications sent on it.
     /// Nodes report task ends twice for the same reason.
     pub(super) fn log_lost_notifications(&mut self, client: ClientId, is_broken: bool) {
+        self.forget_old_notifications();
         for sent in self.sent_notifications.take(client) {
             let received_by = sent
                 .sent_at
--- a/crates/platform/tests/engine/notifications.rs
+++ b/crates/platform/tests/engine/notifications.rs
@@ -318,6 +318,8 @@
         (5 * S, Input::ClientBroken(OWNER), true),
         // It was sent long before the close, and has arrived.
         (5 * S, Input::ClientDisconnected(OWNER), false),
+        // Its client has had the time that the platform allows.
+        (9 * S, Input::ClientBroken(OWNER), false),
     ] {
         let mut harness = harness_with_running_task();
         let out = harness.input(from_node(end(5)));
