Connections take turns at logged notifications, which are encoded once

Cause: each slice of time began with the connection of the lowest number. While ends arrive all the time that one always has something to send, and with a slow build the slices ended before the newest connections. Each message was also encoded for each connection.

--- a/crates/platform/src/engine/io.rs
+++ b/crates/platform/src/engine/io.rs
@@ -82,9 +82,9 @@
 pub enum Output {
     /// Send a message to a client.
     SendToClient(ClientId, Bytes),
-    /// Send a logged notification to a client. It is sent on other connections, too, so that the connection may be closed
-    /// before it is written.
-    SendNotification(ClientId, Bytes),
+    /// Send logged notifications, one message after the other, to a client. They are sent on other connections, too, so
+    /// that the connection may be closed before they are written.
+    SendNotifications(ClientId, Bytes),
     /// Call [`PlatformEngine::clients_to_notify`](super::PlatformEngine::clients_to_notify): there may be notifications
     /// that client connections have not been sent.
     NotificationsPending,
--- a/crates/platform/src/engine/notification_log.rs
+++ b/crates/platform/src/engine/notification_log.rs
@@ -6,8 +6,9 @@
 //! sent the notifications.
 
 use super::notifications::Notification;
+use bytes::{Bytes, BytesMut};
 use peppercove::{Micros, NodeId, TaskKey};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Which client connections are sent a notification.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,8 @@
 #[derive(Debug)]
 struct Entry {
     logged: LoggedNotification,
+    /// The encoded message. It is sent on many connections.
+    frame: Bytes,
     expires_at: Micros,
 }
 
@@ -65,7 +68,11 @@
         for name in names_of(&logged) {
             self.by_task.insert((name, logged.node), sequence);
         }
-        self.entries.push_back(Entry { logged, expires_at });
+        self.entries.push_back(Entry {
+            logged,
+            frame: logged.notification.message().encode(),
+            expires_at,
+        });
         let mut removed = 0;
         while self.entries.len() > limit {
             self.remove_oldest();
@@ -84,14 +91,27 @@
         self.entries.is_empty()
     }
 
-    /// The notifications for all clients among the first `count` from this sequence number on.
-    pub(super) fn for_all_clients(&self, from: u64, count: usize) -> Vec<Notification> {
-        let skipped = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
-        let entries = self.entries.iter().skip(skipped).take(count);
-        entries
-            .filter(|entry| entry.logged.audience == Audience::AllClients)
-            .map(|entry| entry.logged.notification)
-            .collect()
+    /// The messages for all clients among the first `count` entries from this sequence number on, without those with
+    /// the excluded wire ids.
+    pub(super) fn frames(&self, from: u64, count: usize, excluded_ids: &BTreeSet<u64>) -> Bytes {
+        let first = self.index_of(from);
+        let end = self.index_of(self.advance(from, count));
+        let mut frames = BytesMut::new();
+        for entry in self.entries.range(first..end) {
+            let notification = entry.logged.notification;
+            if entry.logged.audience == Audience::AllClients
+                && !excluded_ids.contains(&notification.wire_id)
+            {
+                frames.extend_from_slice(&entry.frame);
+            }
+        }
+        frames.freeze()
+    }
+
+    /// The index of the first entry with at least this sequence number.
+    fn index_of(&self, sequence: u64) -> usize {
+        let index = usize::try_from(sequence.saturating_sub(self.first));
+        index.map_or(self.entries.len(), |index| index.min(self.entries.len()))
     }
 
     /// The sequence number that is `count` entries after `from`, or the end of the log.
--- a/crates/platform/src/engine/notifications.rs
+++ b/crates/platform/src/engine/notifications.rs
@@ -37,7 +37,8 @@
 }
 
 impl Notification {
-    fn message(self) -> Message {
+    /// The message to the client.
+    pub(super) fn message(self) -> Message {
         match self.kind {
             NotificationKind::Ended(cause) => Message::release(self.wire_id, cause),
             NotificationKind::Migrating => Message::new(MessageKind::Move, self.wire_id),
@@ -139,19 +140,15 @@
         };
         let from = client.next_notification;
         client.next_notification = self.notification_log.advance(from, NOTIFICATIONS_PER_SEND);
-        let reused_ids = client.reused_ids.clone();
+        let frames = self
+            .notification_log
+            .frames(from, NOTIFICATIONS_PER_SEND, &client.reused_ids);
         if client.next_notification == self.notification_log.end() {
             client.reused_ids.clear();
         }
-        let notifications = self
-            .notification_log
-            .for_all_clients(from, NOTIFICATIONS_PER_SEND);
-        for notification in notifications {
-            if !reused_ids.contains(&notification.wire_id) {
-                let frame = notification.message().encode();
-                self.outputs
-                    .push(Output::SendNotification(connection, frame));
-            }
+        if !frames.is_empty() {
+            self.outputs
+                .push(Output::SendNotifications(connection, frames));
         }
     }
 
--- a/crates/platform/tests/engine/fixtures.rs
+++ b/crates/platform/tests/engine/fixtures.rs
@@ -94,6 +94,15 @@
         .with(code::FIGURES, attributes.as_bytes())
 }
 
+/// The messages in consecutive frames.
+pub fn decode_frames(frames: &Bytes) -> Vec<Message> {
+    let mut bytes = BytesMut::from(&frames[..]);
+    let next = || decode(&mut bytes).expect("the frame must be decodable");
+    let messages: Vec<Message> = std::iter::from_fn(next).collect();
+    assert!(bytes.is_empty(), "the last frame must be complete");
+    messages
+}
+
 /// The message in a frame.
 pub fn decode_frame(frame: &Bytes) -> Message {
     decode(&mut BytesMut::from(&frame[..]))
--- a/crates/platform/tests/engine/harness.rs
+++ b/crates/platform/tests/engine/harness.rs
@@ -210,13 +210,16 @@
 
 /// Messages to clients, each with the client's number.
 pub fn to_clients(outputs: &[Output]) -> Vec<(u64, Message)> {
-    let message = |output: &Output| match output {
-        Output::SendToClient(client, frame) | Output::SendNotification(client, frame) => {
-            Some((client.0, decode_frame(frame)))
+    let mut messages = Vec::new();
+    for output in outputs {
+        if let Output::SendToClient(client, frames) | Output::SendNotifications(client, frames) =
+            output
+        {
+            let decoded = decode_frames(frames).into_iter();
+            messages.extend(decoded.map(|message| (client.0, message)));
         }
-        _ => None,
-    };
-    outputs.iter().filter_map(message).collect()
+    }
+    messages
 }
 
 /// Messages to nodes, each with the connection's number.
--- a/crates/platform/tests/engine/random_answers.rs
+++ b/crates/platform/tests/engine/random_answers.rs
@@ -80,7 +80,13 @@
                         self.input(Input::SendNotifications(client));
                     }
                 }
-                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                Output::SendNotifications(_, frames) => {
+                    for message in decode_frames(&frames) {
+                        assert_eq!(message.kind, MessageKind::Release);
+                        assert!(self.requests[&message.id].is_settled);
+                    }
+                }
+                Output::SendToClient(_, frame) => {
                     let message = decode_frame(&frame);
                     let request = self
                         .requests
--- a/crates/platform/tests/engine/random_inputs.rs
+++ b/crates/platform/tests/engine/random_inputs.rs
@@ -206,7 +206,11 @@
                     }
                     // Closing a connection ends the open attempts on it.
                     Output::Close(connection) => open_on.retain(|_, other| *other != connection.0),
-                    Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                    Output::SendNotifications(_, frames) => {
+                        let is_end = |message: &Message| message.kind != MessageKind::Answer;
+                        prop_assert!(decode_frames(&frames).iter().all(is_end));
+                    }
+                    Output::SendToClient(_, frame) => {
                         let message = decode_frame(&frame);
                         if message.kind == MessageKind::Answer {
                             prop_assert!(answered.insert(message.id), "answered twice");
--- a/crates/platform/tests/engine/random_node_reports/world.rs
+++ b/crates/platform/tests/engine/random_node_reports/world.rs
@@ -133,8 +133,10 @@
                     }
                 }
                 Output::Close(number) => self.close_from_engine(number.0),
-                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
-                    self.on_client_message(&decode_frame(&frame));
+                Output::SendToClient(_, frames) | Output::SendNotifications(_, frames) => {
+                    for message in decode_frames(&frames) {
+                        self.on_client_message(&message);
+                    }
                 }
                 Output::NotificationsPending => {
                     for client in self.engine.clients_to_notify() {
--- a/crates/scale/src/hollow_scheduler.rs
+++ b/crates/scale/src/hollow_scheduler.rs
@@ -217,7 +217,7 @@
     fn input(&mut self, input: Input) {
         for output in self.engine.handle(self.now, input) {
             match output {
-                Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+                Output::SendToClient(_, frame) | Output::SendNotifications(_, frame) => {
                     self.receive_at_client(&frame);
                 }
                 Output::Connect(connection, _) => {
@@ -252,11 +252,15 @@
         }
     }
 
-    fn receive_at_client(&mut self, frame: &[u8]) {
-        self.counts.client.add(frame.len());
-        let Ok(Some(message)) = decode(&mut BytesMut::from(frame)) else {
-            return;
-        };
+    fn receive_at_client(&mut self, frames: &[u8]) {
+        let mut bytes = BytesMut::from(frames);
+        while let Ok(Some(message)) = decode(&mut bytes) {
+            self.count_client_message(&message);
+        }
+    }
+
+    fn count_client_message(&mut self, message: &Message) {
+        self.counts.client.add(message.encode().len());
         if message.kind == MessageKind::Answer {
             self.counts.placed += 1;
         }
--- a/crates/scale/src/roles/serve/harness.rs
+++ b/crates/scale/src/roles/serve/harness.rs
@@ -128,7 +128,7 @@
 
     fn handle_output(&mut self, output: Output) {
         match output {
-            Output::SendToClient(_, frame) | Output::SendNotification(_, frame) => {
+            Output::SendToClient(_, frame) | Output::SendNotifications(_, frame) => {
                 self.send_to_client(&frame);
             }
             Output::SendToNode(connection, frame) | Output::Cancel(connection, frame) => {
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -122,7 +122,8 @@
         let outputs = self.engine.borrow_mut().handle(self.clock.now(), input);
         let mut recipients = BTreeSet::new();
         for output in outputs {
-            if let Output::SendToClient(client, _) | Output::SendNotification(client, _) = &output {
+            if let Output::SendToClient(client, _) | Output::SendNotifications(client, _) = &output
+            {
                 recipients.insert(*client);
             }
             self.execute(output);
@@ -146,7 +147,7 @@
             Output::SendToClient(client, frame) => {
                 self.with_client(client, |connection| connection.push_answer(&frame));
             }
-            Output::SendNotification(client, frame) => {
+            Output::SendNotifications(client, frame) => {
                 self.with_client(client, |connection| {
                     connection.send_buffer.push(&frame);
                 });
--- a/crates/serve/src/server/notifications.rs
+++ b/crates/serve/src/server/notifications.rs
@@ -5,6 +5,9 @@
 use peppercove_platform::{ClientId, Input};
 use std::rc::Rc;
 
+#[cfg(test)]
+mod tests;
+
 /// How long a connection is open without any message before it is sent notifications. A client that opens a connection to
 /// send a request would otherwise get a notification before that request is read.
 const SILENCE_BEFORE_NOTIFICATIONS: Micros = 100_000;
@@ -44,21 +47,33 @@
     }
 }
 
+/// Moves the clients up to the one that was served last to the end.
+///
+/// While ends arrive all the time, the first connections always have something to send. If each slice began with them,
+/// the last ones would get nothing.
+fn rotate_after(clients: &mut [ClientId], last_served: ClientId) {
+    let first = clients.partition_point(|client| *client <= last_served);
+    clients.rotate_left(first);
+}
+
 /// Sends notifications in time slices, with input that arrived in the meantime handled after each slice. Never returns.
 pub(crate) async fn send_notifications(server: Rc<Server>) {
     let slice = u64::try_from(server.admission_slice.as_micros()).unwrap_or(0);
+    let mut last_served = ClientId(0);
     loop {
         server.notifications_pending.notified().await;
         loop {
             // The runtime polls the sockets during the yield. A request that has arrived already must be known before a
             // notification with its id is sent on its connection.
             tokio::task::yield_now().await;
-            let ready = server.clients_ready_for_notifications();
+            let mut ready = server.clients_ready_for_notifications();
             if ready.is_empty() {
                 break;
             }
+            rotate_after(&mut ready, last_served);
             let slice_end = server.clock.now() + slice;
             for client in ready {
+                last_served = client;
                 server.handle(Input::SendNotifications(client));
                 if server.clock.now() >= slice_end {
                     break;
